--- /dev/null
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.pomeloladder.bench
+
+internal const val PLACEHOLDER = 1
--- /dev/null
+++ b/cli/src/main/kotlin/org/pomeloladder/cli/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.pomeloladder.cli
+
+internal const val PLACEHOLDER = 1
--- /dev/null
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.pomeloladder.daemon
+
+internal const val PLACEHOLDER = 1
--- /dev/null
+++ b/peer/src/main/kotlin/org/pomeloladder/peer/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.pomeloladder.peer
+
+internal const val PLACEHOLDER = 1
--- /dev/null
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.pomeloladder.standins
+
+internal const val PLACEHOLDER = 1
