--- a/decisions/src/main/kotlin/org/pomeloladder/configuration/ConfigurationDigest.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/configuration/ConfigurationDigest.kt
@@ -32,10 +32,14 @@
 
 private fun Configuration.digestOfRow(change: Change): Long = when (change) {
     is Change.PutRegion -> regions[change.id].digest("region", change.id.value) { it.canonical() }
-    is Change.RemoveRegion -> regions[change.id].digest("region", change.id.value) { it.canonical() }
+    is Change.RemoveRegion -> regions[change.id].digest("region", change.id.value) {
+        it.canonical()
+    }
     is Change.PutGroup -> groups[change.id].digest("group", change.id.value) { it.canonical() }
     is Change.RemoveGroup -> groups[change.id].digest("group", change.id.value) { it.canonical() }
-    is Change.PutService -> services[change.id].digest("service", change.id.value) { it.canonical() }
+    is Change.PutService -> services[change.id].digest("service", change.id.value) {
+        it.canonical()
+    }
     is Change.RemoveService ->
         services[change.id].digest("service", change.id.value) { it.canonical() }
     is Change.PutSubscriber ->
--- a/decisions/src/main/kotlin/org/pomeloladder/configuration/ConfigurationRules.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/configuration/ConfigurationRules.kt
@@ -17,7 +17,11 @@
     return regions.entries.flatMap { (id, region) ->
         region.domains.mapNotNull { domain ->
             seen.put(domain, id)?.let { other ->
-                ConfigProblem("regions.$id.domains", "a domain of one region", "$domain, also in $other")
+                ConfigProblem(
+                    "regions.$id.domains",
+                    "a domain of one region",
+                    "$domain, also in $other",
+                )
             }
         }
     }
@@ -75,7 +79,13 @@
                     add(ConfigProblem("$path.keyHashes", "64 hexadecimal digits", hash.value))
                 }
                 owners.put(hash, id)?.let { other ->
-                    add(ConfigProblem("$path.keyHashes", "a key of one subscriber", "also of $other"))
+                    add(
+                        ConfigProblem(
+                            "$path.keyHashes",
+                            "a key of one subscriber",
+                            "also of $other",
+                        ),
+                    )
                 }
             }
         }
--- /dev/null
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/AdmissionSystem.kt
@@ -0,0 +1,107 @@
+/*
+ * Judges new requests of callers and attempts forwarded by peers: is this process able to serve, and may this subscriber
+ * use this service here.
+ */
+package org.pomeloladder.decisions
+
+import org.pomeloladder.configuration.Configuration
+import org.pomeloladder.configuration.RegionId
+import org.pomeloladder.configuration.SubscriberId
+
+/** Most requests of callers that one process holds. */
+const val MAX_REQUESTS = 4_096
+
+/** Admits or refuses what arrived in this tick. */
+class AdmissionSystem : TickSystem {
+    override fun run(world: World, tick: Tick) {
+        tick.each<RequestArrived> { admit(world, tick, it.spec) }
+        tick.each<ForwardArrived> { admitForward(world, tick, it) }
+    }
+
+    private fun admit(world: World, tick: Tick, spec: RequestSpec) {
+        val refusal = world.refusalOf(spec) ?: overload(world)
+        if (refusal != null) {
+            tick.refuse(spec.id, refusal)
+            return
+        }
+        val request = Request(spec, tick.nowMs)
+        world.requests[spec.id] = request
+        if (spec.order == null) world.routeQueue.addLast(spec.id)
+        tick.wakeAt(request.deadlineMs)
+    }
+
+    private fun overload(world: World): Refusal? {
+        if (world.requests.size < MAX_REQUESTS) return null
+        return Refusal(RefusalReason.OVERLOADED, retryAfterMs = 1_000)
+    }
+
+    private fun admitForward(world: World, tick: Tick, event: ForwardArrived) {
+        val refusal = world.refusalOf(event.spec) ?: residencyHere(world, event.spec)
+        if (refusal != null) {
+            tick.give(RefuseForward(event.attempt, event.from, refusal))
+            tick.journal.count(Counter.REFUSALS, refusal.reason.code)
+            return
+        }
+        world.attempts[event.attempt] = Attempt(
+            id = event.attempt,
+            spec = event.spec,
+            origin = Origin.Peer(event.from),
+            place = Place.Arrived(event.wanted),
+            createdMs = tick.nowMs,
+            deadlineMs = tick.nowMs + event.spec.budgetMs,
+        ).also { it.fromToken = event.fromToken }
+    }
+
+    private fun residencyHere(world: World, spec: RequestSpec): Refusal? {
+        if (world.mayProcessHere(spec.subscriber)) return null
+        return Refusal(RefusalReason.RESIDENCY, detail = "not allowed in region ${world.region}")
+    }
+}
+
+/** Why this process cannot take [spec] at all, or null when it can. */
+private fun World.refusalOf(spec: RequestSpec): Refusal? {
+    val document =
+        configuration.document ?: return Refusal(RefusalReason.NOT_READY, retryAfterMs = 500)
+    val position = configuration.position
+    if (position != null && spec.sequence > position.sequence) {
+        configuration.noteSeen(spec.sequence)
+        return Refusal(RefusalReason.CONFIGURATION_BEHIND, retryAfterMs = 500)
+    }
+    if (process.isDraining) return Refusal(RefusalReason.DRAINING, retryAfterMs = 0)
+    return document.refusalOf(spec)
+}
+
+private fun Configuration.refusalOf(spec: RequestSpec): Refusal? {
+    val subscriber = subscribers[spec.subscriber]
+        ?: return Refusal(RefusalReason.UNAUTHORIZED, detail = "unknown subscriber")
+    if (spec.service !in services) {
+        return Refusal(RefusalReason.UNKNOWN_SERVICE, detail = "unknown service ${spec.service}")
+    }
+    val group = groups[subscriber.group]
+    if (group == null || spec.service !in group.services) {
+        return Refusal(
+            RefusalReason.SERVICE_NOT_ALLOWED,
+            detail = "service ${spec.service} is not open to group ${subscriber.group}",
+        )
+    }
+    return null
+}
+
+/** Regions where requests of [subscriber] may be processed: its home when it is bound to one. */
+fun Configuration.processingRegions(subscriber: SubscriberId): Set<RegionId> {
+    val home = subscribers[subscriber]?.homeRegion ?: return allowedRegions(subscriber)
+    return allowedRegions(subscriber).filterTo(HashSet()) { it == home }
+}
+
+/** Whether the configuration in force lets this process's region process data of [subscriber]. */
+fun World.mayProcessHere(subscriber: SubscriberId): Boolean {
+    val here = region ?: return false
+    return configuration.document?.processingRegions(subscriber)?.contains(here) ?: false
+}
+
+/** Refuses a caller's request and counts the reason. */
+fun Tick.refuse(request: RequestId, refusal: Refusal) {
+    give(RefuseRequest(request, refusal))
+    journal.count(Counter.REFUSALS, refusal.reason.code)
+    journal.count(Counter.REQUESTS, "refused")
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/CompletionSystem.kt
@@ -0,0 +1,130 @@
+/*
+ * Ends requests: completes them when their winning attempt is done, retries or refuses them when attempts are lost, and
+ * refuses them at their deadline.
+ */
+package org.pomeloladder.decisions
+
+/** Deadlines of requests are checked this often, not at every event. */
+private const val DEADLINE_SCAN_MS = 100L
+
+/** Ends attempts and requests. */
+class CompletionSystem : TickSystem {
+    private var nextScanMs = 0L
+
+    override fun run(world: World, tick: Tick) {
+        tick.each<AttemptFirstToken> { firstToken(world, tick, it.attempt) }
+        tick.each<AttemptProgress> { progress(world, it) }
+        tick.each<AttemptEnded> { ended(world, tick, it) }
+        tick.each<CallerGone> { callerGone(world, tick, it.request) }
+        tick.each<ForwardCancelled> { event ->
+            world.attempts[event.attempt]?.let { world.cancel(tick, it, RefusalReason.WITHDRAWN) }
+        }
+        expire(world, tick)
+    }
+
+    private fun firstToken(world: World, tick: Tick, id: AttemptId) {
+        val attempt = world.attempts[id] ?: return
+        if (attempt.origin != Origin.Local) return
+        val request = world.requests[attempt.spec.id] ?: return
+        if (request.winner != null) return
+        request.winner = id
+        request.firstTokenAtMs = tick.nowMs
+        cancelOthers(world, tick, request, id)
+    }
+
+    private fun progress(world: World, event: AttemptProgress) {
+        val attempt = world.attempts[event.attempt] ?: return
+        attempt.deliveredTokens = event.deliveredTokens
+        if (attempt.origin != Origin.Local) return
+        world.requests[attempt.spec.id]?.deliveredTokens = event.deliveredTokens
+    }
+
+    private fun ended(world: World, tick: Tick, event: AttemptEnded) {
+        val attempt = world.attempts.remove(event.attempt) ?: return
+        if (attempt.origin != Origin.Local) return
+        val request = world.requests[attempt.spec.id] ?: return
+        request.attempts -= attempt.id
+        when (val outcome = event.outcome) {
+            is AttemptOutcome.Completed -> complete(world, tick, request, attempt.id)
+            is AttemptOutcome.NotSent -> world.afterLoss(tick, request, outcome.refusal)
+            is AttemptOutcome.Failed -> {
+                if (request.winner == attempt.id) request.winner = null
+                request.deliveredTokens = maxOf(request.deliveredTokens, outcome.deliveredTokens)
+                world.afterLoss(tick, request, outcome.refusal)
+            }
+            AttemptOutcome.Cancelled -> Unit
+        }
+    }
+
+    private fun complete(world: World, tick: Tick, request: Request, winner: AttemptId) {
+        cancelOthers(world, tick, request, winner)
+        world.requests.remove(request.spec.id)
+        tick.give(CompleteRequest(request.spec.id))
+        tick.journal.count(Counter.REQUESTS, "completed")
+    }
+
+    private fun cancelOthers(world: World, tick: Tick, request: Request, winner: AttemptId) {
+        for (id in request.attempts.filter { it != winner }) {
+            world.attempts[id]?.let { world.cancel(tick, it, RefusalReason.WITHDRAWN) }
+        }
+    }
+
+    private fun callerGone(world: World, tick: Tick, id: RequestId) {
+        val request = world.requests[id] ?: return
+        if (request.spec.order != null) return
+        world.requests.remove(id)
+        for (attempt in request.attempts.toList()) {
+            world.attempts[attempt]?.let { world.cancel(tick, it, RefusalReason.CALLER_GONE) }
+        }
+        tick.journal.count(Counter.REQUESTS, "caller-gone")
+    }
+
+    private fun expire(world: World, tick: Tick) {
+        if (tick.nowMs >= nextScanMs) {
+            nextScanMs = tick.nowMs + DEADLINE_SCAN_MS
+            val expired = world.requests.filter { tick.nowMs >= it.deadlineMs }
+            for (request in expired) expire(world, tick, request)
+        }
+        if (world.requests.size > 0) tick.wakeAt(nextScanMs)
+    }
+
+    private fun expire(world: World, tick: Tick, request: Request) {
+        val wasSent = request.attempts.any { id ->
+            world.attempts[id]?.place.let { it is Place.Dispatched || it is Place.Forwarded }
+        }
+        world.requests.remove(request.spec.id)
+        for (id in request.attempts.toList()) {
+            world.attempts[id]?.let { world.cancel(tick, it, RefusalReason.DEADLINE_EXCEEDED) }
+        }
+        val runState = if (wasSent) RunState.UNKNOWN else RunState.NOT_RUN
+        tick.refuse(request.spec.id, Refusal(RefusalReason.DEADLINE_EXCEEDED, runState))
+    }
+}
+
+/** Decides a request anew after one of its attempts was lost. Other attempts still running carry it on. */
+fun World.afterLoss(tick: Tick, request: Request, refusal: Refusal) {
+    request.lastRefusal = refusal
+    if (request.attempts.isNotEmpty()) return
+    if (retryPolicy.mayRetry(request, refusal, tick.nowMs)) {
+        request.retries += 1
+        tick.journal.count(Counter.RETRIES, refusal.reason.code)
+        routeQueue.addLast(request.spec.id)
+        tick.wakeAt(tick.nowMs)
+        return
+    }
+    requests.remove(request.spec.id)
+    tick.refuse(request.spec.id, refusal)
+}
+
+/**
+ * Stops [attempt]. A queued one ends at once and is provably not run; one already sent is cancelled by the traffic
+ * threads, unless it is an order, which must be left to end by itself.
+ */
+fun World.cancel(tick: Tick, attempt: Attempt, reason: RefusalReason) {
+    when (attempt.place) {
+        is Place.Queued -> endQueued(tick, attempt, Refusal(reason))
+        is Place.Arrived -> endUnsent(tick, attempt, Refusal(reason))
+        is Place.Dispatched -> if (attempt.spec.order == null) tick.give(CancelAttempt(attempt.id))
+        is Place.Forwarded -> tick.give(CancelAttempt(attempt.id))
+    }
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/DispatchSystem.kt
@@ -0,0 +1,149 @@
+/*
+ * Dispatches queued attempts to the backend servers that this process owns, within each server's window, and keeps the
+ * window and the counts exact.
+ */
+package org.pomeloladder.decisions
+
+import org.pomeloladder.configuration.BackendServerId
+
+/** How long a server that refused a connection gets no new work. */
+const val UNREACHABLE_MS = 1_000L
+
+/** Most attempts that wait for one server. */
+const val MAX_QUEUED_PER_SERVER = 256
+
+/** Weight of the newest observation in moving averages. */
+private const val AVERAGE_WEIGHT = 0.2
+
+/** Fills windows from queues. */
+class DispatchSystem(private val queuePolicy: QueuePolicy = QueuePolicy(::FifoQueue)) : TickSystem {
+    override fun run(world: World, tick: Tick) {
+        for (server in world.backends) {
+            if (server.id !in world.queues) world.queues[server.id] = queuePolicy.newQueue()
+        }
+        tick.each<AttemptFirstToken> { observeFirstToken(world, tick, it.attempt) }
+        tick.each<AttemptEnded> { release(world, tick, it) }
+        expire(world, tick)
+        for (server in world.backends) fill(world, tick, server)
+    }
+
+    private fun observeFirstToken(world: World, tick: Tick, id: AttemptId) {
+        val attempt = world.attempts[id] ?: return
+        val place = attempt.place as? Place.Dispatched ?: return
+        val server = world.backends[place.server] ?: return
+        attempt.firstTokenMs = tick.nowMs
+        server.firstTokenMs =
+            average(server.firstTokenMs, (tick.nowMs - attempt.dispatchedMs).toDouble())
+    }
+
+    private fun release(world: World, tick: Tick, event: AttemptEnded) {
+        val attempt = world.attempts[event.attempt] ?: return
+        val place = attempt.place as? Place.Dispatched ?: return
+        val server = world.backends[place.server] ?: return
+        server.inFlight -= 1
+        server.inFlightCostTokens -= attempt.spec.costTokens
+        val outcome = event.outcome
+        if (outcome is AttemptOutcome.Completed) grow(server)
+        if (outcome is AttemptOutcome.NotSent &&
+            outcome.refusal.reason == RefusalReason.BACKEND_UNREACHABLE
+        ) {
+            server.unreachableUntilMs = tick.nowMs + UNREACHABLE_MS
+            tick.journal.log(LogEvent.BACKEND_UNREACHABLE, mapOf("server" to server.id))
+            tick.wakeAt(server.unreachableUntilMs)
+        }
+    }
+
+    private fun grow(server: BackendServer) {
+        server.windowSize = minOf(server.windowSize * 2, server.record.concurrency)
+    }
+
+    private fun expire(world: World, tick: Tick) {
+        for (queue in world.queues) {
+            if (queue.size == 0) continue
+            for (attempt in queue.waiting()) {
+                if (tick.nowMs < attempt.deadlineMs) continue
+                world.endQueued(tick, attempt, Refusal(RefusalReason.DEADLINE_EXCEEDED))
+            }
+        }
+    }
+
+    private fun fill(world: World, tick: Tick, server: BackendServer) {
+        val queue = world.queues[server.id] ?: return
+        if (queue.size == 0) return
+        if (world.isHeld(tick.nowMs)) return
+        if (server.isLeaving) {
+            for (attempt in queue.waiting()) {
+                world.endQueued(tick, attempt, Refusal(RefusalReason.NOT_OWNER, retryAfterMs = 0))
+            }
+            return
+        }
+        while (true) {
+            val free = server.windowSize - server.inFlight
+            val attempt = queue.poll(world, free, server.windowSize) ?: break
+            server.queued -= 1
+            server.queuedCostTokens -= attempt.spec.costTokens
+            dispatch(world, tick, attempt, server)
+        }
+    }
+
+    private fun dispatch(world: World, tick: Tick, attempt: Attempt, server: BackendServer) {
+        if (!world.mayProcessHere(attempt.spec.subscriber)) {
+            world.endUnsent(tick, attempt, Refusal(RefusalReason.RESIDENCY))
+            return
+        }
+        attempt.place = Place.Dispatched(server.id)
+        attempt.dispatchedMs = tick.nowMs
+        server.inFlight += 1
+        server.inFlightCostTokens += attempt.spec.costTokens
+        val call = if (attempt.spec.order == null) BackendCall.SERVE else BackendCall.RUN_ORDER
+        world.orderOf(attempt)?.state = OrderState.DISPATCHED
+        tick.give(StartAttempt(attempt.id, attempt.spec, server.record, call, attempt.fromToken))
+    }
+}
+
+internal fun average(old: Double, observed: Double): Double =
+    if (old == 0.0) observed else old + AVERAGE_WEIGHT * (observed - old)
+
+/** Puts [attempt] into the queue of [server], or ends it when the queue is full. */
+fun World.enqueue(tick: Tick, attempt: Attempt, server: BackendServerId) {
+    val row = backends[server]
+    val queue = queues[server]
+    attempt.place = Place.Queued(server)
+    if (row == null || queue == null || queue.size >= MAX_QUEUED_PER_SERVER) {
+        endUnsent(tick, attempt, Refusal(RefusalReason.QUEUE_FULL, retryAfterMs = 1_000))
+        return
+    }
+    row.queued += 1
+    row.queuedCostTokens += attempt.spec.costTokens
+    queue.offer(this, attempt)
+    tick.wakeAt(attempt.deadlineMs)
+}
+
+/** Takes a queued [attempt] out of its queue and ends it as not sent. */
+fun World.endQueued(tick: Tick, attempt: Attempt, refusal: Refusal) {
+    val place = attempt.place as? Place.Queued ?: return
+    if (queues[place.server]?.remove(attempt.id) == true) {
+        backends[place.server]?.let { server ->
+            server.queued -= 1
+            server.queuedCostTokens -= attempt.spec.costTokens
+        }
+    }
+    endUnsent(tick, attempt, refusal)
+}
+
+/** Ends an attempt of which no byte was sent: refuses the peer's forward, or decides the caller's request anew. */
+fun World.endUnsent(tick: Tick, attempt: Attempt, refusal: Refusal) {
+    orderOf(attempt)?.state = OrderState.WITHDRAWN
+    if (attempt.origin is Origin.Peer) {
+        refuseForward(tick, attempt, refusal)
+        return
+    }
+    attempts.remove(attempt.id)
+    val request = requests[attempt.spec.id] ?: return
+    request.attempts -= attempt.id
+    afterLoss(tick, request, refusal)
+}
+
+/** The order that [attempt] runs, when this process is its home. */
+fun World.orderOf(attempt: Attempt): Order? =
+    attempt.spec.order?.let { orders[it] }?.takeIf { it.attempt == attempt.id }
--- /dev/null
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Journal.kt
@@ -0,0 +1,35 @@
+/*
+ * What the decisions report for people: numbered log events and counters. The daemon writes them with its logging and
+ * metrics libraries; tests collect them.
+ */
+package org.pomeloladder.decisions
+
+/** Receives log events and counts. Called on the control thread and must not block. */
+interface Journal {
+    fun log(event: LogEvent, details: Map<String, Any?> = emptyMap())
+
+    /** Adds [amount] to [counter] for the bounded label value [reason]. */
+    fun count(counter: Counter, reason: String, amount: Long = 1)
+}
+
+/** Discards everything. */
+object NoJournal : Journal {
+    override fun log(event: LogEvent, details: Map<String, Any?>) = Unit
+
+    override fun count(counter: Counter, reason: String, amount: Long) = Unit
+}
+
+/** Counters kept by the decisions. Label values are reason codes, never ids. */
+enum class Counter(val metricName: String, val help: String) {
+    REQUESTS("pomeloladder_requests", "Requests by final outcome"),
+    REFUSALS("pomeloladder_refusals", "Refused requests by reason"),
+    RETRIES("pomeloladder_retries", "Repeated attempts by reason"),
+    HEDGES("pomeloladder_hedges", "Hedged attempts by result"),
+    ORDERS("pomeloladder_orders", "Orders by result"),
+    ROUTES("pomeloladder_routes", "Chosen routes by kind"),
+    CONFIG_ENTRIES("pomeloladder_config_entries", "Configuration entries by verdict"),
+    MEMBERSHIP("pomeloladder_membership_changes", "Membership changes by kind"),
+    EJECTIONS("pomeloladder_outlier_ejections", "Backend servers taken out of routing by reason"),
+    ENGINE_ORDERS("pomeloladder_engine_orders", "Engine orders by result"),
+    PAUSES("pomeloladder_pauses", "Detected pauses of this process"),
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/LogEvent.kt
@@ -0,0 +1,40 @@
+/*
+ * The catalogue of log events. Each has a number that never changes its meaning; docs/events.md explains them to
+ * operators, and a test compares the two.
+ */
+package org.pomeloladder.decisions
+
+/** How urgent an event is. */
+enum class Severity { INFO, WARN, ERROR }
+
+/** A numbered log event. Numbers are grouped by hundreds: process, configuration, membership, traffic, orders. */
+enum class LogEvent(val number: Int, val severity: Severity, val text: String) {
+    STARTED(100, Severity.INFO, "entry process started"),
+    DRAINING(101, Severity.INFO, "graceful shutdown started"),
+    STOPPED(102, Severity.INFO, "entry process stopped"),
+    PAUSE_DETECTED(103, Severity.WARN, "control thread did not run for a while"),
+    INVARIANT_BROKEN(104, Severity.ERROR, "internal invariant broken, process stops"),
+    SETTINGS_REFUSED(105, Severity.ERROR, "settings are not valid"),
+    READY(106, Severity.INFO, "entry process serves callers"),
+    CONFIG_IN_FORCE(200, Severity.INFO, "configuration in force"),
+    CONFIG_REFUSED(201, Severity.WARN, "configuration entry refused"),
+    CONFIG_DIVERGED(202, Severity.ERROR, "configuration digest differs at the same position"),
+    CONFIG_OLDER_IGNORED(203, Severity.WARN, "older configuration ignored"),
+    PLATFORM_UNREACHABLE(204, Severity.WARN, "platform service does not answer"),
+    PLATFORM_REACHABLE(205, Severity.INFO, "platform service answers again"),
+    VM_SUSPECTED(300, Severity.WARN, "entry VM suspected"),
+    VM_LIVE(301, Severity.INFO, "entry VM live"),
+    VM_DEAD(302, Severity.WARN, "entry VM considered dead"),
+    PEER_REFUSED(303, Severity.WARN, "peer connection refused"),
+    OWNER_CHANGED(304, Severity.INFO, "owner of a backend server changed"),
+    DOMAIN_UNREACHABLE(305, Severity.WARN, "failure domain unreachable"),
+    DOMAIN_REACHABLE(306, Severity.INFO, "failure domain reachable again"),
+    BACKEND_LEAVING(307, Severity.INFO, "backend server leaving"),
+    BACKEND_EJECTED(400, Severity.WARN, "backend server ejected as outlier"),
+    BACKEND_RETURNED(401, Severity.INFO, "backend server returned to routing"),
+    BACKEND_UNREACHABLE(402, Severity.WARN, "backend server refused the connection"),
+    ORDER_UNKNOWN(500, Severity.WARN, "outcome of an order is unknown"),
+    ORDER_WITHDRAWN(501, Severity.INFO, "order withdrawn before dispatch"),
+    ENGINE_ORDER_SENT(600, Severity.INFO, "engine order sent"),
+    ENGINE_ORDER_REFUSED(601, Severity.WARN, "engine order refused"),
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Refusal.kt
@@ -0,0 +1,76 @@
+/*
+ * Why a request was not served, and whether it can have run.
+ */
+package org.pomeloladder.decisions
+
+import kotlinx.serialization.Serializable
+
+/** Whether refused work may have been executed. */
+@Serializable
+enum class RunState(val code: String) {
+    /** Proven: no backend server has executed or will execute the work. */
+    NOT_RUN("not-run"),
+
+    /** The work may have been executed; for an order, look its key up. */
+    UNKNOWN("unknown"),
+}
+
+/** Reason codes. Each is a label value of the refusal counter. */
+@Serializable
+enum class RefusalReason(val code: String) {
+    UNAUTHORIZED("unauthorized"),
+    BAD_REQUEST("bad-request"),
+    UNKNOWN_SERVICE("unknown-service"),
+    SERVICE_NOT_ALLOWED("service-not-allowed"),
+    RESIDENCY("residency"),
+    NOT_READY("not-ready"),
+    DRAINING("draining"),
+    OVERLOADED("overloaded"),
+    QUEUE_FULL("queue-full"),
+    DEADLINE_UNREACHABLE("deadline-unreachable"),
+    DEADLINE_EXCEEDED("deadline-exceeded"),
+    NO_BACKEND("no-backend"),
+    NOT_OWNER("not-owner"),
+    CONFIGURATION_BEHIND("configuration-behind"),
+    PAUSED("paused"),
+    PEER_UNREACHABLE("peer-unreachable"),
+    BACKEND_UNREACHABLE("backend-unreachable"),
+    BACKEND_FAILED("backend-failed"),
+    BACKEND_BUSY("backend-busy"),
+    CONNECTION_LOST("connection-lost"),
+    HOME_REQUIRED("home-required"),
+    HOME_GONE("home-gone"),
+    ORDER_EXPIRED("order-expired"),
+    ORDER_IN_PROGRESS("order-in-progress"),
+    WITHDRAWN("withdrawn"),
+    CALLER_GONE("caller-gone"),
+}
+
+/** A refusal with what the caller may conclude. [retryAfterMs] is set where a later attempt can succeed. */
+@Serializable
+data class Refusal(
+    val reason: RefusalReason,
+    val runState: RunState = RunState.NOT_RUN,
+    val detail: String = "",
+    val retryAfterMs: Long? = null,
+)
+
+/** How one attempt ended, as the traffic threads saw it. */
+@Serializable
+sealed interface AttemptOutcome {
+    /** The backend server's answer was delivered whole. */
+    @Serializable
+    data class Completed(val outputTokens: Int = 0, val cachedTokens: Int = 0) : AttemptOutcome
+
+    /** No byte of the request can have reached a backend server. */
+    @Serializable
+    data class NotSent(val refusal: Refusal) : AttemptOutcome
+
+    /** The request may have reached a backend server; [deliveredTokens] reached the sink. */
+    @Serializable
+    data class Failed(val refusal: Refusal, val deliveredTokens: Int = 0) : AttemptOutcome
+
+    /** Cancelled by a command of the control thread. */
+    @Serializable
+    data object Cancelled : AttemptOutcome
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/RoutingSystem.kt
@@ -0,0 +1,90 @@
+/*
+ * Turns admitted requests into attempts, and places forwarded attempts at an own backend server. A forwarded attempt has
+ * no way to another forward, so no request can go in a loop.
+ */
+package org.pomeloladder.decisions
+
+/** Routes what waits in the route queue and what peers forwarded. */
+class RoutingSystem(private val policy: RoutePolicy = RealRoutePolicy()) : TickSystem {
+    override fun run(world: World, tick: Tick) {
+        tick.each<ForwardArrived> { event ->
+            val attempt = world.attempts[event.attempt]
+            if (attempt != null && attempt.spec.order == null) place(world, tick, attempt)
+        }
+        if (world.isHeld(tick.nowMs)) {
+            tick.wakeAt(world.process.heldUntilMs)
+            return
+        }
+        while (true) {
+            val id = world.routeQueue.removeFirstOrNull() ?: break
+            world.requests[id]?.let { route(world, tick, it) }
+        }
+    }
+
+    private fun place(world: World, tick: Tick, attempt: Attempt) {
+        val server = if (world.isHeld(tick.nowMs)) null else policy.place(world, attempt, tick)
+        if (server != null) {
+            world.enqueue(tick, attempt, server)
+            return
+        }
+        val reason = if (world.isHeld(tick.nowMs)) RefusalReason.PAUSED else RefusalReason.NOT_OWNER
+        world.refuseForward(tick, attempt, Refusal(reason, retryAfterMs = 0))
+    }
+
+    private fun route(world: World, tick: Tick, request: Request) {
+        when (val route = policy.route(world, request, tick)) {
+            is Route.Own -> {
+                val attempt = world.newAttempt(tick, request, Place.Queued(route.server))
+                request.triedServers += route.server
+                world.enqueue(tick, attempt, route.server)
+                tick.journal.count(Counter.ROUTES, "own")
+            }
+            is Route.Peer -> {
+                val attempt = world.newAttempt(tick, request, Place.Forwarded(route.vm))
+                route.server?.let { request.triedServers += it }
+                if (route.server == null) request.triedVms += route.vm
+                tick.give(world.forward(tick, attempt, route))
+                tick.journal.count(Counter.ROUTES, if (route.server == null) "domain" else "peer")
+            }
+            is Route.None -> {
+                world.requests.remove(request.spec.id)
+                tick.refuse(request.spec.id, route.refusal)
+            }
+        }
+    }
+}
+
+/** A new attempt of a caller's [request] at [place]. */
+fun World.newAttempt(tick: Tick, request: Request, place: Place): Attempt {
+    val number = process.nextAttempt++
+    val attempt = Attempt(
+        id = AttemptId("${self.vm}.${self.incarnation}.$number"),
+        spec = request.spec,
+        origin = Origin.Local,
+        place = place,
+        createdMs = tick.nowMs,
+        deadlineMs = request.deadlineMs,
+    )
+    attempt.fromToken = request.deliveredTokens
+    attempts[attempt.id] = attempt
+    request.attempts += attempt.id
+    return attempt
+}
+
+/** The command that forwards [attempt], with the time that remains and the own configuration position. */
+fun World.forward(tick: Tick, attempt: Attempt, route: Route.Peer): StartForward {
+    val sequence = configuration.snapshot?.sequence ?: attempt.spec.sequence
+    val spec = attempt.spec.copy(
+        budgetMs = attempt.deadlineMs - tick.nowMs,
+        sequence = sequence,
+    )
+    return StartForward(attempt.id, spec, route.vm, route.server, attempt.fromToken)
+}
+
+/** Refuses a forwarded attempt that was not dispatched, and forgets it. */
+fun World.refuseForward(tick: Tick, attempt: Attempt, refusal: Refusal) {
+    val origin = attempt.origin as? Origin.Peer ?: return
+    attempts.remove(attempt.id)
+    tick.give(RefuseForward(attempt.id, origin.vm, refusal))
+    tick.journal.count(Counter.REFUSALS, refusal.reason.code)
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/World.kt
@@ -0,0 +1,83 @@
+/*
+ * The world: every table of the control state. One control thread owns it; nothing else reads or writes it.
+ */
+package org.pomeloladder.decisions
+
+import org.pomeloladder.configuration.Address
+import org.pomeloladder.configuration.BackendServerId
+import org.pomeloladder.configuration.ConfigEntry
+import org.pomeloladder.configuration.ConfigPosition
+import org.pomeloladder.configuration.ConfigSequence
+import org.pomeloladder.configuration.ConfigSnapshot
+import org.pomeloladder.configuration.Configuration
+import org.pomeloladder.configuration.FailureDomainId
+import org.pomeloladder.configuration.RegionId
+import org.pomeloladder.configuration.SubscriberId
+import org.pomeloladder.configuration.Verdict
+import org.pomeloladder.configuration.VmId
+
+/** Who this process is, from its settings. */
+data class Self(
+    val vm: VmId,
+    val incarnation: Incarnation,
+    val domain: FailureDomainId,
+    val callerAddress: Address,
+    val peerAddress: Address,
+)
+
+/** All tables of one process. */
+class World(val self: Self, val retryPolicy: RetryPolicy = RealRetryPolicy()) {
+    val configuration = ConfigurationState()
+    val entryVms = Table<VmId, EntryVm>()
+    val backends = Table<BackendServerId, BackendServer>()
+    val domains = Table<FailureDomainId, FailureDomain>()
+    val subscribers = Table<SubscriberId, SubscriberUsage>()
+    val requests = Table<RequestId, Request>()
+    val attempts = Table<AttemptId, Attempt>()
+    val orders = Table<OrderKey, Order>()
+    val queues = Table<BackendServerId, WorkQueue>()
+
+    /** Requests that wait for a routing decision, in order of arrival. */
+    val routeQueue = ArrayDeque<RequestId>()
+    val process = ProcessState()
+
+    /** The region of this process's failure domain, or null until a configuration lists the domain. */
+    val region: RegionId?
+        get() = configuration.document?.regionOf(self.domain)
+
+    /** Entry VMs of the own failure domain that may own backend servers, this process included. */
+    fun servingVmsOfOwnDomain(): List<VmId> =
+        entryVms.filter { it.record.domain == self.domain && it.isServing }.map { it.id }
+}
+
+/** The configuration in force and the recent log that peers may ask for. */
+class ConfigurationState {
+    var snapshot: ConfigSnapshot? = null
+    var digest = 0L
+    val recentEntries = ArrayDeque<ConfigEntry>()
+    val recentVerdicts = ArrayDeque<Pair<ConfigSequence, Verdict>>()
+    var inForceSinceMs = 0L
+
+    /** Highest position that any peer or request named; above the own one while entries are missing. */
+    var highestSeen: ConfigSequence? = null
+
+    val document: Configuration?
+        get() = snapshot?.configuration
+
+    val position: ConfigPosition?
+        get() = snapshot?.let { ConfigPosition(it.sequence, it.version, digest) }
+}
+
+/** State of the process as a whole. */
+class ProcessState {
+    var isDraining = false
+    var isStopped = false
+    var isPlatformReachable = false
+    var isWatching = false
+
+    /** After a pause nothing is dispatched before this time or a fresh position, whichever comes first. */
+    var heldUntilMs = 0L
+    var entryListRevision = 0L
+    var serverListRevision = 0L
+    var nextAttempt = 0L
+}
