Serve a request from caller to engine across entry VMs

Cause: nothing ran from end to end. Change: peer transport over Ktor sockets with CBOR and an HMAC handshake, the daemon with caller API, traffic threads and platform reader, stand-ins, a deployment on loopback, demo and test commands, first tests of routing.

--- /dev/null
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/Cluster.kt
@@ -0,0 +1,122 @@
+/*
+ * A deployment on loopback: stand-ins in this process, daemons as processes of their own.
+ */
+package org.pomeloladder.bench
+
+import java.net.ServerSocket
+import org.pomeloladder.configuration.Address
+import org.pomeloladder.configuration.BackendServerId
+import org.pomeloladder.configuration.BackendServerRecord
+import org.pomeloladder.configuration.Configuration
+import org.pomeloladder.configuration.EntryVmRecord
+import org.pomeloladder.configuration.ModelId
+import org.pomeloladder.configuration.Region
+import org.pomeloladder.configuration.Service
+import org.pomeloladder.configuration.ServiceId
+import org.pomeloladder.configuration.Subscriber
+import org.pomeloladder.configuration.SubscriberGroup
+import org.pomeloladder.configuration.SubscriberGroupId
+import org.pomeloladder.configuration.SubscriberId
+import org.pomeloladder.configuration.VmId
+import org.pomeloladder.daemon.hashOfKey
+import org.pomeloladder.standins.EngineStandIn
+import org.pomeloladder.standins.OrderServiceStandIn
+import org.pomeloladder.standins.PlatformStandIn
+
+private const val LOOPBACK = "127.0.0.1"
+private const val ORDER_CONCURRENCY = 16
+
+/** A running deployment. [start] before use; [close] ends its own processes. */
+class Cluster(private val spec: ClusterSpec) : AutoCloseable {
+    val platform = PlatformStandIn(configurationOf(spec))
+    val engines = LinkedHashMap<BackendServerId, EngineStandIn>()
+    val orderServices = LinkedHashMap<BackendServerId, OrderServiceStandIn>()
+    val daemons = LinkedHashMap<VmId, DaemonProcess>()
+
+    fun start() {
+        platform.start()
+        val entryVms = ArrayList<EntryVmRecord>()
+        for (domain in spec.domains) {
+            platform.publishBackends(domain.id, startBackends(domain))
+            entryVms += entryVmsOf(domain)
+        }
+        platform.publishEntryVms(entryVms)
+        for (record in entryVms) {
+            daemons[record.id] = DaemonProcess(record, freeAddress(), platform.address)
+        }
+        daemons.values.forEach(DaemonProcess::start)
+        daemons.values.forEach(DaemonProcess::awaitReady)
+    }
+
+    override fun close() {
+        daemons.values.forEach(DaemonProcess::close)
+        engines.values.forEach(EngineStandIn::close)
+        orderServices.values.forEach(OrderServiceStandIn::close)
+        platform.close()
+    }
+
+    private fun startBackends(domain: DomainSpec): List<BackendServerRecord> {
+        val records = ArrayList<BackendServerRecord>()
+        repeat(domain.engines) { index ->
+            val id = BackendServerId("${domain.id}-engine-${index + 1}")
+            val engine = EngineStandIn(domain.engineProfile).also { it.start() }
+            engines[id] = engine
+            records += BackendServerRecord(
+                id = id,
+                domain = domain.id,
+                address = engine.address,
+                services = setOf(ServiceId(spec.modelService)),
+                concurrency = domain.engineConcurrency,
+            )
+        }
+        repeat(domain.orderServers) { index ->
+            val id = BackendServerId("${domain.id}-orders-${index + 1}")
+            val service = OrderServiceStandIn().also { it.start() }
+            orderServices[id] = service
+            records += BackendServerRecord(
+                id = id,
+                domain = domain.id,
+                address = service.address,
+                services = setOf(ServiceId(spec.orderService)),
+                concurrency = ORDER_CONCURRENCY,
+            )
+        }
+        return records
+    }
+
+    private fun entryVmsOf(domain: DomainSpec) = (1..domain.entryVms).map { index ->
+        EntryVmRecord(
+            id = VmId("${domain.id}-$index"),
+            domain = domain.id,
+            callerAddress = freeAddress(),
+            peerAddress = freeAddress(),
+        )
+    }
+}
+
+/** A free port of loopback. Another process may take it before it is used; tests then fail to start, not to verify. */
+internal fun freeAddress(): Address = ServerSocket(0).use { Address(LOOPBACK, it.localPort) }
+
+private fun configurationOf(spec: ClusterSpec) = Configuration(
+    regions = spec.domains.groupBy { it.region }
+        .mapValues { (_, domains) -> Region(domains.map { it.id }.toSet()) },
+    groups = spec.subscribers.associate { subscriber ->
+        SubscriberGroupId(subscriber.name) to SubscriberGroup(
+            services = setOf(ServiceId(spec.modelService), ServiceId(spec.orderService)),
+            regions = subscriber.regions,
+            weight = subscriber.weight,
+            deadlineMs = subscriber.deadlineMs,
+        )
+    },
+    services = mapOf(
+        ServiceId(spec.modelService) to Service.LanguageModel(ModelId("general-1")),
+        ServiceId(spec.orderService) to Service.Plain(idempotent = false),
+    ),
+    subscribers = spec.subscribers.associate { subscriber ->
+        SubscriberId(subscriber.name) to Subscriber(
+            group = SubscriberGroupId(subscriber.name),
+            keyHashes = setOf(hashOfKey(subscriber.apiKey)),
+            homeRegion = subscriber.homeRegion?.let { org.pomeloladder.configuration.RegionId(it) },
+        )
+    },
+)
--- /dev/null
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/DaemonProcess.kt
@@ -0,0 +1,102 @@
+/*
+ * One daemon as a process of its own, as operators run it.
+ */
+package org.pomeloladder.bench
+
+import java.io.File
+import java.util.concurrent.TimeUnit
+import org.http4k.client.JettyClient
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.pomeloladder.configuration.Address
+import org.pomeloladder.configuration.EntryVmRecord
+
+private const val READY_TIMEOUT_MS = 60_000L
+private const val POLL_MS = 50L
+private const val STOP_TIMEOUT_S = 20L
+private const val SHARED_KEY_HEX = "6d79207368617265642074657374206b6579"
+
+/** Starts and stops the daemon of [record]. */
+class DaemonProcess(
+    val record: EntryVmRecord,
+    val administration: Address,
+    private val platform: Address,
+) : AutoCloseable {
+    private val directory = File.createTempFile("pomeloladder-", "").apply {
+        delete()
+        mkdirs()
+    }
+    private var process: Process? = null
+
+    /** What the daemon wrote to its log so far. */
+    val log: File = File(directory, "daemon.log")
+
+    val pid: Long
+        get() = checkNotNull(process) { "daemon ${record.id} is not started" }.pid()
+
+    val isAlive: Boolean
+        get() = process?.isAlive == true
+
+    fun start() {
+        val settings = File(directory, "settings.yaml").apply { writeText(settingsYaml()) }
+        process = ProcessBuilder(
+            File(System.getProperty("java.home"), "bin/java").path,
+            "-Xmx256m",
+            "-XX:TieredStopAtLevel=1",
+            "-cp",
+            System.getProperty("java.class.path"),
+            "org.pomeloladder.daemon.MainKt",
+            settings.path,
+        ).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log)).start()
+    }
+
+    fun awaitReady() {
+        val until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_TIMEOUT_MS)
+        while (System.nanoTime() < until) {
+            check(isAlive) { "daemon ${record.id} ended: ${log.readText()}" }
+            if (isReady()) return
+            Thread.sleep(POLL_MS)
+        }
+        error("daemon ${record.id} not ready in $READY_TIMEOUT_MS ms: ${log.readText()}")
+    }
+
+    /** Sends [name], for example STOP or CONT, to the process. */
+    fun signal(name: String) {
+        ProcessBuilder("kill", "-$name", pid.toString()).start().waitFor()
+    }
+
+    /** Asks for a graceful shutdown and waits for its end. Returns whether it ended in time. */
+    fun terminate(timeoutSeconds: Long = STOP_TIMEOUT_S): Boolean {
+        val running = process ?: return true
+        running.destroy()
+        return running.waitFor(timeoutSeconds, TimeUnit.SECONDS)
+    }
+
+    fun kill() {
+        process?.destroyForcibly()?.waitFor()
+    }
+
+    override fun close() {
+        kill()
+        directory.deleteRecursively()
+    }
+
+    private fun isReady(): Boolean {
+        val uri = "http://${record.callerAddress}/readyz"
+        return http(Request(Method.GET, uri)).status.successful
+    }
+
+    private fun settingsYaml() = """
+        vmId: ${record.id}
+        failureDomain: ${record.domain}
+        callers: {host: ${record.callerAddress.host}, port: ${record.callerAddress.port}}
+        peers: {host: ${record.peerAddress.host}, port: ${record.peerAddress.port}}
+        administration: {host: ${administration.host}, port: ${administration.port}, keyHashes: []}
+        sharedKeyHex: "$SHARED_KEY_HEX"
+        platform: {host: ${platform.host}, port: ${platform.port}}
+    """.trimIndent()
+
+    private companion object {
+        val http = JettyClient()
+    }
+}
--- a/bench/src/main/kotlin/org/pomeloladder/bench/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.pomeloladder.bench
-
-internal const val PLACEHOLDER = 1
--- a/cli/src/main/kotlin/org/pomeloladder/cli/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.pomeloladder.cli
-
-internal const val PLACEHOLDER = 1
--- /dev/null
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/CallerApi.kt
@@ -0,0 +1,310 @@
+/*
+ * The HTTP front end for callers: the entry directory, chat completions and orders. It authenticates, reads and checks
+ * the body, and hands a typed request to the control thread; everything else is decided there.
+ */
+package org.pomeloladder.daemon
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.JsonObject
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.http4k.routing.bind
+import org.http4k.routing.path
+import org.http4k.routing.routes
+import org.pomeloladder.configuration.ConfigSnapshot
+import org.pomeloladder.configuration.Service
+import org.pomeloladder.configuration.ServiceId
+import org.pomeloladder.configuration.SubscriberId
+import org.pomeloladder.decisions.CallerGone
+import org.pomeloladder.decisions.DIRECTORY_VALIDITY_MS
+import org.pomeloladder.decisions.OrderCall
+import org.pomeloladder.decisions.OrderKey
+import org.pomeloladder.decisions.PrefixKey
+import org.pomeloladder.decisions.Refusal
+import org.pomeloladder.decisions.RefusalReason
+import org.pomeloladder.decisions.RequestArrived
+import org.pomeloladder.decisions.RequestSpec
+import org.pomeloladder.decisions.directory
+import org.pomeloladder.decisions.hashKey
+import org.pomeloladder.decisions.ownHomeToken
+import org.pomeloladder.peer.AnswerPart
+
+/** Output tokens expected of a request that names no limit. */
+private const val DEFAULT_OUTPUT_TOKENS = 256
+private const val MAX_OUTPUT_TOKENS = 32_768
+
+/** Characters of prompt text per token, for estimates before the engine has counted. */
+private const val CHARACTERS_PER_TOKEN = 4
+
+/** A first message at least this long is a shared briefing or manual and is a prefix by itself. */
+private const val SHARED_PREFIX_CHARACTERS = 512
+
+/** Cost of an order for fair sharing, in tokens. */
+private const val ORDER_COST_TOKENS = 1
+
+/** How much longer than its deadline a caller's thread waits for the control thread's word. */
+private const val ANSWER_GRACE_MS = 5_000L
+
+/** Serves callers. */
+class CallerApi(
+    private val traffic: TrafficPlane,
+    private val control: ControlAccess,
+    private val requestIds: RequestIds,
+    private val limits: Limits,
+) {
+    private val subscribers = SubscriberIndex()
+
+    /** All routes of the caller listener. */
+    fun handler(): HttpHandler = routes(
+        "/v1/entries" bind Method.GET to ::entries,
+        "/v1/chat/completions" bind Method.POST to ::chat,
+        "/v1/orders" bind Method.POST to ::runOrder,
+        "/v1/orders/{key}" bind Method.GET to { orderCall(it, OrderCall.LOOK_UP) },
+        "/v1/orders/{key}" bind Method.DELETE to { orderCall(it, OrderCall.WITHDRAW) },
+        "/healthz" bind Method.GET to { Response(Status.OK).body("ok\n") },
+        "/readyz" bind Method.GET to ::ready,
+    )
+
+    private fun ready(@Suppress("UNUSED_PARAMETER") request: Request): Response {
+        if (traffic.view.isReady) return Response(Status.OK).body("ready\n")
+        return Refusal(RefusalReason.NOT_READY, retryAfterMs = 500).toResponse()
+    }
+
+    private fun entries(request: Request): Response = authenticated(request) { caller ->
+        val listed = control.read { world -> world.directory(caller.subscriber) }
+        val entries = listed.map {
+            EntryAnswer(it.vm.value, it.address.toString(), it.homeToken?.toString())
+        }
+        json(daemonJson.encodeToString(EntriesAnswer(DIRECTORY_VALIDITY_MS, entries)))
+    }
+
+    private fun chat(request: Request): Response = authenticated(request) { caller ->
+        val bytes = request.readBody(limits.maxBodyBytes) ?: return@authenticated tooLarge()
+        val chat = try {
+            daemonJson.decodeFromString<ChatRequest>(bytes.decodeToString())
+        } catch (e: SerializationException) {
+            return@authenticated bad("body is not a chat request: ${e.firstLine()}")
+        }
+        chat.problem()?.let { return@authenticated bad(it) }
+        val spec = chatSpec(request, caller, chat)
+        val exchange = CallerExchange(spec.id, bytes, control)
+        start(exchange, spec)
+        answerChat(exchange, spec, chat)
+    }
+
+    private fun ChatRequest.problem(): String? = when {
+        messages.isEmpty() -> "messages must not be empty"
+        maxTokens != null && maxTokens !in 1..MAX_OUTPUT_TOKENS ->
+            "max_tokens must be from 1 to $MAX_OUTPUT_TOKENS, found $maxTokens"
+        else -> null
+    }
+
+    private fun chatSpec(request: Request, caller: Caller, chat: ChatRequest): RequestSpec {
+        val characters = chat.messages.sumOf { it.content.length }
+        val first = chat.messages.first().content
+        val prefix = when {
+            first.length >= SHARED_PREFIX_CHARACTERS -> first
+            else -> chat.messages.take(2).joinToString("\n") { it.content }
+        }
+        return RequestSpec(
+            id = requestIds.next(),
+            subscriber = caller.subscriber,
+            service = ServiceId(chat.model),
+            promptTokens = characters / CHARACTERS_PER_TOKEN + 1,
+            maxOutputTokens = chat.maxTokens ?: DEFAULT_OUTPUT_TOKENS,
+            prefix = PrefixKey(hashKey(chat.model + "\n" + prefix)),
+            budgetMs = request.deadlineMs() ?: caller.deadlineMs,
+            sequence = caller.snapshot.sequence,
+        )
+    }
+
+    private fun answerChat(
+        exchange: CallerExchange,
+        spec: RequestSpec,
+        chat: ChatRequest,
+    ): Response {
+        val writer = ChatWriter(spec.id, chat.model)
+        if (chat.stream) {
+            return when (val first = exchange.next(spec.budgetMs + ANSWER_GRACE_MS)) {
+                is ExchangeItem.Refused -> refused(exchange, spec, first.refusal)
+                else -> streamed(exchange, spec, writer, first)
+            }
+        }
+        val collected = ArrayList<AnswerPart>()
+        while (true) {
+            when (val item = exchange.next(spec.budgetMs + ANSWER_GRACE_MS)) {
+                is ExchangeItem.Part -> collected += item.part
+                is ExchangeItem.Refused -> return refused(exchange, spec, item.refusal)
+                ExchangeItem.Done -> {
+                    traffic.release(exchange)
+                    return json(writer.whole(collected)).header(REQUEST_ID, spec.id.value)
+                }
+            }
+        }
+    }
+
+    private fun streamed(
+        exchange: CallerExchange,
+        spec: RequestSpec,
+        writer: ChatWriter,
+        first: ExchangeItem,
+    ): Response {
+        val stream =
+            EventStream(exchange, writer, first, spec.budgetMs + ANSWER_GRACE_MS) { isWhole ->
+                traffic.release(exchange)
+                if (!isWhole) control.post(CallerGone(spec.id))
+            }
+        return Response(Status.OK)
+            .header("Content-Type", "text/event-stream")
+            .header("Cache-Control", "no-store")
+            .header(REQUEST_ID, spec.id.value)
+            .body(stream)
+    }
+
+    private fun runOrder(request: Request): Response = authenticated(request) { caller ->
+        val bytes = request.readBody(limits.maxBodyBytes) ?: return@authenticated tooLarge()
+        val order = try {
+            daemonJson.decodeFromString<OrderRequest>(bytes.decodeToString())
+        } catch (e: SerializationException) {
+            return@authenticated bad("body is not an order: ${e.firstLine()}")
+        }
+        if (order.order !is JsonObject) return@authenticated bad("order must be a JSON object")
+        val text = request.header("Idempotency-Key")
+            ?: return@authenticated bad("the header Idempotency-Key is missing")
+        val key = OrderKey.parse(text) ?: return@authenticated homeRequired(text)
+        call(request, caller, ServiceId(order.service), key, OrderCall.RUN, bytes)
+    }
+
+    private fun homeRequired(reference: String): Response {
+        if (!OrderKey.isReference(reference)) {
+            return bad("Idempotency-Key must be HOME_TOKEN~REFERENCE, found \"$reference\"")
+        }
+        val home = control.read { it.ownHomeToken() }
+        val detail = "send the key again as $home~$reference"
+        return Refusal(RefusalReason.HOME_REQUIRED, detail = detail)
+            .toResponse(homeToken = home.toString())
+    }
+
+    private fun orderCall(request: Request, orderCall: OrderCall): Response =
+        authenticated(request) { caller ->
+            val text = request.path("key").orEmpty()
+            val key =
+                OrderKey.parse(text) ?: return@authenticated bad("not an order key: \"$text\"")
+            val service = request.query("service")?.let(::ServiceId) ?: caller.onlyOrderService()
+                ?: return@authenticated bad("the query parameter service is missing")
+            call(request, caller, service, key, orderCall, ByteArray(0))
+        }
+
+    private fun call(
+        request: Request,
+        caller: Caller,
+        service: ServiceId,
+        key: OrderKey,
+        orderCall: OrderCall,
+        bytes: ByteArray,
+    ): Response {
+        val configured = caller.snapshot.configuration.services[service]
+        if (configured !is Service.Plain) {
+            val detail = "no plain service $service"
+            return Refusal(RefusalReason.UNKNOWN_SERVICE, detail = detail).toResponse()
+        }
+        val spec = RequestSpec(
+            id = requestIds.next(),
+            subscriber = caller.subscriber,
+            service = service,
+            promptTokens = ORDER_COST_TOKENS,
+            maxOutputTokens = 0,
+            prefix = PrefixKey(hashKey(key.toString())),
+            budgetMs = request.deadlineMs() ?: caller.deadlineMs,
+            sequence = caller.snapshot.sequence,
+            order = key,
+            orderCall = orderCall,
+        )
+        val exchange = CallerExchange(spec.id, bytes, control)
+        start(exchange, spec)
+        return answerOrder(exchange, spec)
+    }
+
+    private fun answerOrder(exchange: CallerExchange, spec: RequestSpec): Response {
+        var body: AnswerPart.Body? = null
+        while (true) {
+            when (val item = exchange.next(spec.budgetMs + ANSWER_GRACE_MS)) {
+                is ExchangeItem.Part -> body = item.part as? AnswerPart.Body ?: body
+                is ExchangeItem.Refused -> return refused(exchange, spec, item.refusal)
+                ExchangeItem.Done -> {
+                    traffic.release(exchange)
+                    val whole = body ?: return Response(Status.BAD_GATEWAY)
+                    return Response(Status(whole.status, null))
+                        .header("Content-Type", whole.contentType)
+                        .header(REQUEST_ID, spec.id.value)
+                        .body(whole.bytes.inputStream(), whole.bytes.size.toLong())
+                }
+            }
+        }
+    }
+
+    private fun start(exchange: CallerExchange, spec: RequestSpec) {
+        traffic.open(exchange)
+        control.post(RequestArrived(spec))
+    }
+
+    private fun refused(exchange: CallerExchange, spec: RequestSpec, refusal: Refusal): Response {
+        traffic.release(exchange)
+        return refusal.toResponse(spec.id)
+    }
+
+    private fun authenticated(request: Request, serve: (Caller) -> Response): Response {
+        val snapshot = traffic.view.snapshot
+            ?: return Refusal(RefusalReason.NOT_READY, retryAfterMs = 500).toResponse()
+        val key = request.apiKey()
+            ?: return Refusal(RefusalReason.UNAUTHORIZED, detail = "no API key").toResponse()
+        val subscriber = subscribers.find(snapshot, key)
+            ?: return Refusal(RefusalReason.UNAUTHORIZED, detail = "unknown API key").toResponse()
+        return serve(Caller(subscriber, snapshot))
+    }
+
+    private class Caller(val subscriber: SubscriberId, val snapshot: ConfigSnapshot) {
+        private val group = snapshot.configuration.subscribers.getValue(subscriber).group
+            .let { snapshot.configuration.groups.getValue(it) }
+
+        val deadlineMs: Long
+            get() = group.deadlineMs
+
+        /** The one service of the group whose calls are orders, or null when there is none or a choice. */
+        fun onlyOrderService(): ServiceId? = group.services.singleOrNull {
+            val service = snapshot.configuration.services[it]
+            service is Service.Plain && !service.idempotent
+        }
+    }
+
+    private companion object {
+        const val REQUEST_ID = "X-Request-Id"
+    }
+}
+
+private const val MAX_DEADLINE_MS = 600_000L
+
+/** The deadline that the caller asked for, within bounds. */
+private fun Request.deadlineMs(): Long? =
+    header("X-Deadline-Ms")?.toLongOrNull()?.coerceIn(1, MAX_DEADLINE_MS)
+
+/** The whole body, or null when it is larger than [maxBytes]. */
+internal fun Request.readBody(maxBytes: Int): ByteArray? {
+    val bytes = body.stream.readNBytes(maxBytes + 1)
+    return if (bytes.size > maxBytes) null else bytes
+}
+
+private fun json(text: String) =
+    Response(Status.OK).header("Content-Type", "application/json").body(text)
+
+private fun bad(detail: String) = Refusal(RefusalReason.BAD_REQUEST, detail = detail).toResponse()
+
+private fun tooLarge(): Response =
+    Refusal(RefusalReason.BAD_REQUEST, detail = "body is too large").toResponse()
+        .status(Status.REQUEST_ENTITY_TOO_LARGE)
+
+private fun SerializationException.firstLine() = message.orEmpty().lineSequence().first()
--- /dev/null
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/Daemon.kt
@@ -0,0 +1,134 @@
+/*
+ * One entry process: wires the control thread, the traffic side and the HTTP listeners together.
+ */
+package org.pomeloladder.daemon
+
+import java.util.HexFormat
+import java.util.concurrent.CountDownLatch
+import kotlin.random.Random
+import org.eclipse.jetty.server.HttpConfiguration
+import org.eclipse.jetty.server.HttpConnectionFactory
+import org.eclipse.jetty.server.Server
+import org.eclipse.jetty.server.ServerConnector
+import org.eclipse.jetty.util.thread.QueuedThreadPool
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.http4k.routing.bind
+import org.http4k.routing.routes
+import org.http4k.server.Http4kServer
+import org.http4k.server.Jetty
+import org.http4k.server.asServer
+import org.pomeloladder.configuration.Address
+import org.pomeloladder.decisions.DrainAsked
+import org.pomeloladder.decisions.Incarnation
+import org.pomeloladder.decisions.LogEvent
+import org.pomeloladder.decisions.Policies
+import org.pomeloladder.decisions.Scheduler
+import org.pomeloladder.decisions.Self
+import org.pomeloladder.decisions.World
+import org.pomeloladder.decisions.policies
+import org.pomeloladder.decisions.systems
+import org.pomeloladder.peer.PeerIdentity
+import org.pomeloladder.peer.RealPeerTransport
+
+/** A running entry process. [settings] are checked; [policies] are those of production unless an experiment sets them. */
+class Daemon(private val settings: Settings, policies: Policies = policies()) {
+    // Wall-clock time only orders incarnations of one VM; nothing else uses it.
+    private val incarnation = Incarnation(System.currentTimeMillis())
+    private val identity = PeerIdentity(
+        settings.vm,
+        incarnation,
+        HexFormat.of().parseHex(settings.sharedKeyHex),
+    )
+    private val transport = RealPeerTransport(identity, settings.peers)
+    private val metrics = Metrics(transport.meter)
+    private val journal = RealJournal(metrics)
+    private val stopped = CountDownLatch(1)
+    private val self = Self(
+        vm = settings.vm,
+        incarnation = incarnation,
+        domain = settings.domain,
+        callerAddress = settings.callers,
+        peerAddress = settings.peers,
+    )
+    private val scheduler = Scheduler(
+        World(self),
+        systems(policies),
+        Random(incarnation.value xor settings.vm.hashCode().toLong()),
+        journal,
+    )
+    private val control: ControlThread = ControlThread(
+        scheduler = scheduler,
+        clock = RealMonotonicClock,
+        metrics = metrics,
+        execute = { traffic.execute(it) },
+        onBroken = ::stopBroken,
+    )
+    private val platform = RealPlatformReader(settings.platform, settings.domain, control)
+    private val traffic: TrafficPlane = TrafficPlane(
+        transport = transport,
+        backendClient = RealBackendClient(settings.limits.backendIdleTimeoutMs),
+        platform = platform,
+        onPeerRefused = { journal.log(LogEvent.PEER_REFUSED, mapOf("reason" to it)) },
+        onStop = stopped::countDown,
+    )
+    private val access = ControlAccess(control)
+    private val callerServer = listener(
+        settings.callers,
+        CallerApi(traffic, access, RequestIds(settings.vm, incarnation), settings.limits).handler(),
+    )
+    private val administrationServer = listener(
+        settings.administration,
+        routes(
+            "/metrics" bind Method.GET to { Response(Status.OK).body(metrics.expose()) },
+        ),
+    )
+
+    fun start() {
+        traffic.start(control)
+        control.start()
+        platform.start()
+        callerServer.start()
+        administrationServer.start()
+        val details = mapOf("vm" to settings.vm, "incarnation" to incarnation)
+        journal.log(LogEvent.STARTED, details)
+    }
+
+    /** Asks for a graceful shutdown; [awaitStop] returns when it is finished. */
+    fun drain() = access.post(DrainAsked)
+
+    /** Waits until the process is drained, and closes everything. */
+    fun awaitStop() {
+        stopped.await()
+        callerServer.stop()
+        administrationServer.stop()
+        control.stop()
+        platform.close()
+        traffic.close()
+        journal.log(LogEvent.STOPPED)
+    }
+
+    private fun stopBroken(cause: Throwable) {
+        journal.log(LogEvent.INVARIANT_BROKEN, mapOf("cause" to cause.stackTraceToString()))
+        Runtime.getRuntime().halt(EXIT_BROKEN)
+    }
+
+    private fun listener(address: Address, handler: HttpHandler): Http4kServer {
+        val server = Server(QueuedThreadPool(settings.limits.maxCallerThreads))
+        val http = HttpConfiguration().apply { sendServerVersion = false }
+        val connector = ServerConnector(server, HttpConnectionFactory(http)).apply {
+            host = address.host
+            port = address.port
+            idleTimeout = settings.limits.callerIdleTimeoutMs
+        }
+        server.addConnector(connector)
+        return handler.asServer(Jetty(address.port, server))
+    }
+
+    companion object {
+        /** Exit code after a broken invariant. */
+        const val EXIT_BROKEN = 70
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/ErrorResponses.kt
@@ -0,0 +1,43 @@
+/*
+ * Refusals as HTTP answers: one status code and one typed body for each reason.
+ */
+package org.pomeloladder.daemon
+
+import kotlinx.serialization.encodeToString
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.pomeloladder.decisions.Refusal
+import org.pomeloladder.decisions.RefusalReason
+import org.pomeloladder.decisions.RequestId
+
+private const val MS_PER_SECOND = 1_000L
+
+/** The HTTP status for a refusal with [reason]. */
+internal fun statusOf(reason: RefusalReason): Status = when (reason) {
+    RefusalReason.UNAUTHORIZED -> Status.UNAUTHORIZED
+    RefusalReason.BAD_REQUEST -> Status.BAD_REQUEST
+    RefusalReason.UNKNOWN_SERVICE -> Status.NOT_FOUND
+    RefusalReason.SERVICE_NOT_ALLOWED, RefusalReason.RESIDENCY -> Status.FORBIDDEN
+    RefusalReason.OVERLOADED, RefusalReason.QUEUE_FULL, RefusalReason.DEADLINE_UNREACHABLE ->
+        Status.TOO_MANY_REQUESTS
+    RefusalReason.DEADLINE_EXCEEDED -> Status.GATEWAY_TIMEOUT
+    RefusalReason.HOME_REQUIRED, RefusalReason.ORDER_EXPIRED, RefusalReason.ORDER_IN_PROGRESS,
+    RefusalReason.WITHDRAWN,
+    -> Status.CONFLICT
+    RefusalReason.HOME_GONE -> Status.NOT_FOUND
+    RefusalReason.BACKEND_FAILED, RefusalReason.CONNECTION_LOST -> Status.BAD_GATEWAY
+    else -> Status.SERVICE_UNAVAILABLE
+}
+
+/** The answer to a refused request. */
+internal fun Refusal.toResponse(request: RequestId? = null, homeToken: String? = null): Response {
+    val body = ErrorAnswer(
+        ErrorDetail(reason.code, runState.code, detail, request?.value, retryAfterMs, homeToken),
+    )
+    val response = Response(statusOf(reason))
+        .header("Content-Type", "application/json")
+        .body(daemonJson.encodeToString(body))
+    val retryMs = retryAfterMs ?: return response
+    val seconds = (retryMs + MS_PER_SECOND - 1) / MS_PER_SECOND
+    return response.header("Retry-After", seconds.toString())
+}
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.pomeloladder.daemon
-
-internal const val PLACEHOLDER = 1
--- /dev/null
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/RealBackendClient.kt
@@ -0,0 +1,168 @@
+/*
+ * Backend calls through http4k's Jetty client. Model engines answer as server-sent events; plain services answer whole.
+ *
+ * An order is sent on a connection of its own: a pooled connection that turns out to be closed is where HTTP clients
+ * repeat requests silently.
+ */
+package org.pomeloladder.daemon
+
+import java.io.IOException
+import java.io.InputStream
+import kotlinx.serialization.SerializationException
+import org.eclipse.jetty.client.HttpClient
+import org.http4k.client.DualSyncAsyncHttpHandler
+import org.http4k.client.JettyClient
+import org.http4k.core.BodyMode
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.pomeloladder.decisions.AttemptOutcome
+import org.pomeloladder.decisions.BackendCall
+import org.pomeloladder.decisions.Refusal
+import org.pomeloladder.decisions.RefusalReason
+import org.pomeloladder.decisions.RunState
+import org.pomeloladder.peer.AnswerPart
+
+private const val CONNECT_TIMEOUT_MS = 2_000L
+private const val MAX_CONNECTIONS_PER_SERVER = 1_024
+
+/** [BackendClient] over HTTP/1.1. */
+class RealBackendClient(idleTimeoutMs: Long) : BackendClient {
+    private val jetty = HttpClient().apply {
+        connectTimeout = CONNECT_TIMEOUT_MS
+        idleTimeout = idleTimeoutMs
+        isFollowRedirects = false
+        maxConnectionsPerDestination = MAX_CONNECTIONS_PER_SERVER
+        userAgentField = null
+    }
+    private val calling = ThreadLocal<BackendAttempt>()
+    private val client: DualSyncAsyncHttpHandler =
+        JettyClient(jetty, BodyMode.Stream) { request -> request.also { observe(it) } }
+
+    override fun call(attempt: BackendAttempt): BackendResult {
+        if (attempt.isCancelled) return ended(AttemptOutcome.Cancelled)
+        calling.set(attempt)
+        val response = try {
+            client(request(attempt))
+        } finally {
+            calling.remove()
+        }
+        return response.use { read(attempt, it) }
+    }
+
+    override fun close() = client.close()
+
+    private fun request(attempt: BackendAttempt): Request {
+        val base = "http://${attempt.server.address}"
+        val key = attempt.spec.order?.toString().orEmpty()
+        return when (attempt.call) {
+            BackendCall.SERVE -> Request(Method.POST, "$base/v1/chat/completions")
+                .header("Request-Id", attempt.id.value)
+                .header("Resume-Offset", attempt.fromToken.toString())
+                .header("Content-Type", "application/json")
+                .body(engineBody(attempt.sink.payload, attempt.sink.deliveredText))
+            BackendCall.RUN_ORDER -> Request(Method.POST, "$base/orders")
+                .header("Idempotency-Key", key)
+                .header("Connection", "close")
+                .header("Content-Type", "application/json")
+                .body(attempt.sink.payload.decodeToString())
+            BackendCall.LOOK_UP_ORDER -> Request(Method.GET, "$base/orders/$key")
+                .header("Connection", "close")
+        }
+    }
+
+    private fun read(attempt: BackendAttempt, response: Response): BackendResult {
+        val status = response.status
+        if (attempt.isCancelled) return ended(AttemptOutcome.Cancelled)
+        if (!attempt.isAnswered) return ended(transportFailure(attempt, status))
+        if (attempt.call == BackendCall.LOOK_UP_ORDER && status == Status.NOT_FOUND) {
+            return BackendResult.OrderAbsent
+        }
+        return when (attempt.call) {
+            BackendCall.SERVE -> ended(readStream(attempt, response))
+            else -> ended(readBody(attempt, response))
+        }
+    }
+
+    private fun readBody(attempt: BackendAttempt, response: Response): AttemptOutcome = try {
+        val bytes = response.body.stream.readAllBytes()
+        val contentType = response.header("Content-Type") ?: "application/json"
+        attempt.sink.part(attempt.id, AnswerPart.Body(response.status.code, contentType, bytes))
+        AttemptOutcome.Completed()
+    } catch (e: IOException) {
+        failed(RefusalReason.CONNECTION_LOST, e.message.orEmpty())
+    }
+
+    private fun readStream(attempt: BackendAttempt, response: Response): AttemptOutcome {
+        val status = response.status
+        if (status == Status.TOO_MANY_REQUESTS || status == Status.SERVICE_UNAVAILABLE) {
+            return AttemptOutcome.NotSent(Refusal(RefusalReason.BACKEND_BUSY))
+        }
+        if (!status.successful) return failed(RefusalReason.BACKEND_FAILED, "status ${status.code}")
+        return try {
+            readEvents(attempt, response.body.stream)
+        } catch (e: IOException) {
+            if (attempt.isCancelled) return AttemptOutcome.Cancelled
+            failed(RefusalReason.CONNECTION_LOST, e.message.orEmpty())
+        } catch (e: SerializationException) {
+            failed(RefusalReason.BACKEND_FAILED, "answer is not valid JSON: ${e.message}")
+        }
+    }
+
+    private fun readEvents(attempt: BackendAttempt, stream: InputStream): AttemptOutcome {
+        var offset = attempt.fromToken
+        var usage: EngineUsage? = null
+        var finishReason: String? = null
+        for (data in stream.bufferedReader().serverSentEvents()) {
+            if (data == END_OF_STREAM) {
+                val reason =
+                    finishReason ?: return failed(RefusalReason.BACKEND_FAILED, "no finish")
+                return finish(attempt, reason, offset, usage)
+            }
+            val chunk = daemonJson.decodeFromString<EngineChunk>(data)
+            usage = chunk.usage ?: usage
+            val choice = chunk.choices.firstOrNull() ?: continue
+            finishReason = choice.finishReason ?: finishReason
+            val text = choice.delta.content ?: continue
+            if (!attempt.sink.part(attempt.id, AnswerPart.Token(offset, text))) {
+                return AttemptOutcome.Cancelled
+            }
+            offset += 1
+        }
+        return failed(RefusalReason.CONNECTION_LOST, "stream ended early")
+    }
+
+    private fun finish(
+        attempt: BackendAttempt,
+        reason: String,
+        outputTokens: Int,
+        usage: EngineUsage?,
+    ): AttemptOutcome {
+        val cachedTokens = usage?.promptTokensDetails?.cachedTokens ?: 0
+        val promptTokens = usage?.promptTokens ?: attempt.spec.promptTokens
+        val part = AnswerPart.Finish(reason, promptTokens, cachedTokens, outputTokens)
+        if (!attempt.sink.part(attempt.id, part)) return AttemptOutcome.Cancelled
+        return AttemptOutcome.Completed(outputTokens, cachedTokens)
+    }
+
+    /** Notes how far the call came, which the client's error answers do not tell. */
+    private fun observe(request: org.eclipse.jetty.client.Request) {
+        val attempt = calling.get() ?: return
+        request.onRequestBegin { attempt.isSendBegun = true }
+        request.onResponseBegin { attempt.isAnswered = true }
+        attempt.onCancel { request.abort(IOException("attempt cancelled")) }
+    }
+
+    private fun transportFailure(attempt: BackendAttempt, status: Status): AttemptOutcome {
+        // Jetty calls the begin listener before it writes the first byte.
+        if (attempt.isSendBegun) return failed(RefusalReason.CONNECTION_LOST, status.description)
+        val refusal = Refusal(RefusalReason.BACKEND_UNREACHABLE, detail = status.description)
+        return AttemptOutcome.NotSent(refusal)
+    }
+
+    private fun failed(reason: RefusalReason, detail: String) =
+        AttemptOutcome.Failed(Refusal(reason, RunState.UNKNOWN, detail))
+
+    private fun ended(outcome: AttemptOutcome) = BackendResult.Ended(outcome)
+}
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Scheduler.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Scheduler.kt
@@ -19,6 +19,7 @@
     fun tick(nowMs: Long, events: List<Event>): TickResult {
         val tick = Tick(nowMs, events, random, journal)
         for (system in systems) system.run(world, tick)
+        tick.each<Inspection> { it.read(world, nowMs) }
         return TickResult(tick.commands, tick.nextTimerMs)
     }
 }
--- /dev/null
+++ b/peer/src/main/kotlin/org/pomeloladder/peer/FrameCodec.kt
@@ -0,0 +1,49 @@
+/*
+ * Encodes frames as CBOR with a four-byte length before each.
+ */
+package org.pomeloladder.peer
+
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeByteArray
+import io.ktor.utils.io.writeInt
+import kotlinx.io.IOException
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+
+/** Largest frame: a configuration value of 1 MB with room for its envelope. */
+const val MAX_FRAME_BYTES = 2 * 1024 * 1024
+
+/** Encodes and decodes [Frame]s. */
+@OptIn(ExperimentalSerializationApi::class)
+object FrameCodec {
+    private val cbor = Cbor { ignoreUnknownKeys = true }
+
+    fun encode(frame: Frame): ByteArray = cbor.encodeToByteArray(frame)
+
+    /** @throws IOException if [bytes] are not a frame. */
+    fun decode(bytes: ByteArray): Frame = try {
+        cbor.decodeFromByteArray(bytes)
+    } catch (e: SerializationException) {
+        throw IOException("peer frame of ${bytes.size} bytes is not valid CBOR", e)
+    }
+}
+
+internal suspend fun ByteWriteChannel.writeFrame(bytes: ByteArray) {
+    writeInt(bytes.size)
+    writeByteArray(bytes)
+    flush()
+}
+
+internal suspend fun ByteReadChannel.readFrame(): ByteArray {
+    val length = readInt()
+    if (length !in 1..MAX_FRAME_BYTES) {
+        throw IOException("peer frame of $length bytes, at most $MAX_FRAME_BYTES allowed")
+    }
+    return readByteArray(length)
+}
--- a/peer/src/main/kotlin/org/pomeloladder/peer/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.pomeloladder.peer
-
-internal const val PLACEHOLDER = 1
--- /dev/null
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/EngineStandIn.kt
@@ -0,0 +1,205 @@
+/*
+ * Stands in for a model engine: continuous batching, a prefix cache in limited memory, moments of slowness, and load
+ * reports that lag. The answer to a prompt is a function of the prompt, so that a test can tell a whole answer from a
+ * broken or a foreign one.
+ */
+package org.pomeloladder.standins
+
+import java.io.InputStream
+import java.util.concurrent.Semaphore
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.http4k.routing.bind
+import org.http4k.routing.routes
+import org.pomeloladder.configuration.Address
+
+private const val CHARACTERS_PER_TOKEN = 4
+private const val BYTE_MASK = 0xff
+private const val SEED_MASK = 0xffff
+private const val NANOS_PER_MS = 1_000_000.0
+
+/** Speed and size of one engine. */
+data class EngineProfile(
+    val slots: Int = 8,
+    val prefillTokensPerMs: Double = 20.0,
+    val decodeMsPerToken: Double = 2.0,
+    val cacheTokens: Int = 200_000,
+    val reportLagMs: Long = 2_000,
+)
+
+/** What the engine reads of a request. */
+@Serializable
+private data class EngineRequest(
+    val model: String,
+    val messages: List<EngineMessage>,
+    @SerialName("max_tokens") val maxTokens: Int = 256,
+)
+
+@Serializable
+private data class EngineMessage(val role: String, val content: String)
+
+/** A model engine. */
+class EngineStandIn(private val profile: EngineProfile = EngineProfile(), port: Int = 0) : StandIn {
+    private val listener = LoopbackListener(port, handler())
+    private val slots = Semaphore(profile.slots, true)
+    private val prefill = Any()
+    private val cache = PrefixCache(profile.cacheTokens)
+    private val running = AtomicInteger()
+    private val waiting = AtomicInteger()
+    private val prefilledTokens = AtomicLong()
+    private val cachedTokens = AtomicLong()
+    private val requests = AtomicInteger()
+    private val report = LaggingReport(profile.reportLagMs)
+
+    /** Multiplies all times; 10 makes the engine a straggler. */
+    @Volatile
+    var slowdown = 1.0
+
+    override val address: Address
+        get() = listener.address
+
+    /** Prompt tokens that had to be computed because no cached prefix covered them. */
+    val prefilledTokenCount: Long
+        get() = prefilledTokens.get()
+
+    val cachedTokenCount: Long
+        get() = cachedTokens.get()
+
+    /** Requests that the engine accepted so far. */
+    val requestCount: Int
+        get() = requests.get()
+
+    override fun start() = listener.start()
+
+    override fun close() = listener.close()
+
+    /** Forgets all cached prefixes, as after a restart. */
+    fun clearCache() = cache.clear()
+
+    private fun handler() = routes(
+        "/v1/chat/completions" bind Method.POST to ::complete,
+        "/load" bind Method.GET to { json("""{"load":${report.current()}}""") },
+    )
+
+    private fun complete(request: Request): Response {
+        val body = standInJson.decodeFromString<EngineRequest>(request.bodyString())
+        val fromToken = request.header("Resume-Offset")?.toIntOrNull() ?: 0
+        requests.incrementAndGet()
+        val stream = AnswerStream(body, fromToken)
+        return Response(Status.OK).header("Content-Type", "text/event-stream").body(stream)
+    }
+
+    private fun pause(ms: Double) {
+        val nanos = (ms * slowdown * NANOS_PER_MS).toLong()
+        if (nanos > 0) java.util.concurrent.TimeUnit.NANOSECONDS.sleep(nanos)
+    }
+
+    /** Prompt processing is serial, as in an engine whose prefill fills the accelerator. */
+    private fun process(body: EngineRequest): Int = synchronized(prefill) {
+        val text = body.messages.joinToString("\n") { it.content }
+        val promptTokens = text.length / CHARACTERS_PER_TOKEN + 1
+        val cached = minOf(cache.match(text) / CHARACTERS_PER_TOKEN, promptTokens)
+        cache.add(text)
+        val fresh = promptTokens - cached
+        prefilledTokens.addAndGet(fresh.toLong())
+        cachedTokens.addAndGet(cached.toLong())
+        pause(fresh / profile.prefillTokensPerMs)
+        cached
+    }
+
+    private fun changeLoad(change: Int, of: AtomicInteger) {
+        of.addAndGet(change)
+        report.record(running.get() + waiting.get())
+    }
+
+    private inner class AnswerStream(private val body: EngineRequest, private var token: Int) :
+        InputStream() {
+        private val seed = answerSeed(body.messages.joinToString("\n") { it.content })
+        private var pending = ByteArray(0)
+        private var position = 0
+        private var cached = -1
+        private var isDone = false
+        private var isReleased = false
+
+        override fun read(): Int {
+            val one = ByteArray(1)
+            return if (read(one, 0, 1) < 0) -1 else one[0].toInt() and BYTE_MASK
+        }
+
+        override fun read(buffer: ByteArray, offset: Int, length: Int): Int {
+            if (position == pending.size && !advance()) return -1
+            val count = minOf(length, pending.size - position)
+            pending.copyInto(buffer, offset, position, position + count)
+            position += count
+            return count
+        }
+
+        override fun close() = release()
+
+        private fun advance(): Boolean {
+            if (isDone) {
+                release()
+                return false
+            }
+            if (cached < 0) begin()
+            pending = when {
+                token < body.maxTokens -> {
+                    pause(profile.decodeMsPerToken)
+                    event(token++)
+                }
+                else -> {
+                    isDone = true
+                    end()
+                }
+            }.toByteArray()
+            position = 0
+            return true
+        }
+
+        private fun begin() {
+            changeLoad(1, waiting)
+            slots.acquire()
+            changeLoad(-1, waiting)
+            changeLoad(1, running)
+            cached = process(body)
+        }
+
+        private fun release() {
+            if (isReleased || cached < 0) return
+            isReleased = true
+            slots.release()
+            changeLoad(-1, running)
+        }
+
+        private fun event(index: Int): String {
+            val delta = """{"content":"${answerToken(seed, index)}"}"""
+            return "data: {\"choices\":[{\"index\":0,\"delta\":$delta}]}\n\n"
+        }
+
+        private fun end(): String {
+            val usage = """{"prompt_tokens":${promptTokens()},"completion_tokens":$token,""" +
+                """"prompt_tokens_details":{"cached_tokens":$cached}}"""
+            val choice = """{"index":0,"delta":{},"finish_reason":"stop"}"""
+            return "data: {\"choices\":[$choice],\"usage\":$usage}\n\ndata: [DONE]\n\n"
+        }
+
+        private fun promptTokens() =
+            body.messages.joinToString("\n") { it.content }.length / CHARACTERS_PER_TOKEN + 1
+    }
+}
+
+/** The seed of the answer to [prompt]. */
+fun answerSeed(prompt: String): Int = prompt.hashCode() and SEED_MASK
+
+/** Token [index] of the answer with [seed]. */
+fun answerToken(seed: Int, index: Int): String = "$seed-$index "
+
+/** The whole answer of [tokens] tokens that every engine gives to [prompt]. */
+fun expectedAnswer(prompt: String, tokens: Int): String =
+    (0 until tokens).joinToString("") { answerToken(answerSeed(prompt), it) }
--- /dev/null
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/OrderServiceStandIn.kt
@@ -0,0 +1,62 @@
+/*
+ * Stands in for an order service: it executes each call that it receives, without checking whether it has executed that
+ * key before, so that a repeated call shows up as a second execution.
+ */
+package org.pomeloladder.standins
+
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.http4k.routing.bind
+import org.http4k.routing.path
+import org.http4k.routing.routes
+import org.pomeloladder.configuration.Address
+
+/** An order service that counts executions by key. */
+class OrderServiceStandIn(port: Int = 0) : StandIn {
+    private val executions = ConcurrentHashMap<String, AtomicInteger>()
+    private val listener = LoopbackListener(port, handler())
+
+    /** Time before an order is executed. */
+    @Volatile
+    var executeDelayMs = 0L
+
+    /** Time between the execution and its answer. */
+    @Volatile
+    var answerDelayMs = 0L
+
+    override val address: Address
+        get() = listener.address
+
+    override fun start() = listener.start()
+
+    override fun close() = listener.close()
+
+    /** How often [key] was executed. */
+    fun executionsOf(key: String): Int = executions[key]?.get() ?: 0
+
+    /** Every executed key with its number of executions. */
+    fun allExecutions(): Map<String, Int> = executions.mapValues { it.value.get() }
+
+    private fun handler() = routes(
+        "/orders" bind Method.POST to ::execute,
+        "/orders/{key}" bind Method.GET to ::lookUp,
+    )
+
+    private fun execute(request: Request): Response {
+        val key = request.header("Idempotency-Key") ?: return Response(Status.BAD_REQUEST)
+        if (executeDelayMs > 0) Thread.sleep(executeDelayMs)
+        executions.computeIfAbsent(key) { AtomicInteger() }.incrementAndGet()
+        if (answerDelayMs > 0) Thread.sleep(answerDelayMs)
+        return json("""{"key":"$key","state":"executed"}""", Status.CREATED)
+    }
+
+    private fun lookUp(request: Request): Response {
+        val key = request.path("key").orEmpty()
+        if (executionsOf(key) == 0) return Response(Status.NOT_FOUND)
+        return json("""{"key":"$key","state":"executed"}""")
+    }
+}
--- a/standins/src/main/kotlin/org/pomeloladder/standins/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.pomeloladder.standins
-
-internal const val PLACEHOLDER = 1
