--- a/bench/src/main/kotlin/org/pomeloladder/bench/Cluster.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/Cluster.kt
@@ -3,12 +3,12 @@
  */
 package org.pomeloladder.bench
 
-import java.net.ServerSocket
 import org.pomeloladder.configuration.Address
 import org.pomeloladder.configuration.BackendServerId
 import org.pomeloladder.configuration.BackendServerRecord
 import org.pomeloladder.configuration.Configuration
 import org.pomeloladder.configuration.EntryVmRecord
+import org.pomeloladder.configuration.FailureDomainId
 import org.pomeloladder.configuration.ModelId
 import org.pomeloladder.configuration.Region
 import org.pomeloladder.configuration.Service
@@ -23,7 +23,6 @@
 import org.pomeloladder.standins.OrderServiceStandIn
 import org.pomeloladder.standins.PlatformStandIn
 
-private const val LOOPBACK = "127.0.0.1"
 private const val ORDER_CONCURRENCY = 16
 
 /** A running deployment. [start] before use; [close] ends its own processes. */
@@ -32,6 +31,11 @@
     val engines = LinkedHashMap<BackendServerId, EngineStandIn>()
     val orderServices = LinkedHashMap<BackendServerId, OrderServiceStandIn>()
     val daemons = LinkedHashMap<VmId, DaemonProcess>()
+    private val faults = if (spec.hasFaultProxies) FaultProxies() else null
+
+    /** The proxies of a deployment that has them. */
+    val proxies: FaultProxies
+        get() = checkNotNull(faults) { "the deployment has no fault proxies" }
 
     fun start() {
         platform.start()
@@ -40,21 +44,37 @@
             platform.publishBackends(domain.id, startBackends(domain))
             entryVms += entryVmsOf(domain)
         }
-        platform.publishEntryVms(entryVms)
+        platform.publishEntryVms(entryVms.map { it.published() })
         for (record in entryVms) {
-            daemons[record.id] = DaemonProcess(record, freeAddress(), platform.address)
+            val platformAddress = faults?.platform(record.domain, platform.address)
+            val address = platformAddress ?: platform.address
+            daemons[record.id] = DaemonProcess(record, freeAddress(), address)
         }
         daemons.values.forEach(DaemonProcess::start)
         daemons.values.forEach(DaemonProcess::awaitReady)
     }
 
+    /** The backend servers of [domain] as the platform lists them. */
+    fun backendRecords(domain: FailureDomainId): List<BackendServerRecord> =
+        platform.publishedBackends(domain)
+
     override fun close() {
         daemons.values.forEach(DaemonProcess::close)
         engines.values.forEach(EngineStandIn::close)
         orderServices.values.forEach(OrderServiceStandIn::close)
         platform.close()
+        faults?.close()
+    }
+
+    /** The record as peers see it: behind a proxy when the deployment has them. */
+    private fun EntryVmRecord.published(): EntryVmRecord {
+        val proxies = faults ?: return this
+        return copy(peerAddress = proxies.peer(id, peerAddress))
     }
 
+    private fun backendAddress(id: BackendServerId, address: Address): Address =
+        faults?.backend(id, address) ?: address
+
     private fun startBackends(domain: DomainSpec): List<BackendServerRecord> {
         val records = ArrayList<BackendServerRecord>()
         repeat(domain.engines) { index ->
@@ -64,7 +84,7 @@
             records += BackendServerRecord(
                 id = id,
                 domain = domain.id,
-                address = engine.address,
+                address = backendAddress(id, engine.address),
                 services = setOf(ServiceId(spec.modelService)),
                 concurrency = domain.engineConcurrency,
             )
@@ -76,7 +96,7 @@
             records += BackendServerRecord(
                 id = id,
                 domain = domain.id,
-                address = service.address,
+                address = backendAddress(id, service.address),
                 services = setOf(ServiceId(spec.orderService)),
                 concurrency = ORDER_CONCURRENCY,
             )
@@ -94,9 +114,6 @@
     }
 }
 
-/** A free port of loopback. Another process may take it before it is used; tests then fail to start, not to verify. */
-internal fun freeAddress(): Address = ServerSocket(0).use { Address(LOOPBACK, it.localPort) }
-
 private fun configurationOf(spec: ClusterSpec) = Configuration(
     regions = spec.domains.groupBy { it.region }
         .mapValues { (_, domains) -> Region(domains.map { it.id }.toSet()) },
--- a/bench/src/main/kotlin/org/pomeloladder/bench/ClusterSpec.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/ClusterSpec.kt
@@ -14,6 +14,9 @@
     var modelService = "chat"
     var orderService = "orders"
 
+    /** Whether peers, the platform and backend servers are reached through fault-injecting proxies. */
+    var hasFaultProxies = false
+
     /** Adds a failure domain in [region]. */
     fun domain(region: String, name: String, build: DomainSpec.() -> Unit = {}) {
         domains += DomainSpec(RegionId(region), FailureDomainId(name)).apply(build)
--- a/bench/src/main/kotlin/org/pomeloladder/bench/DaemonProcess.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/DaemonProcess.kt
@@ -76,6 +76,10 @@
         process?.destroyForcibly()?.waitFor()
     }
 
+    /** The configuration version in force on this daemon. */
+    fun configVersion(): Long =
+        MetricsClient(administration).gauge("pomeloladder_config_version").toLong()
+
     override fun close() {
         kill()
         directory.deleteRecursively()
--- a/bench/src/main/kotlin/org/pomeloladder/bench/MetricsClient.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/MetricsClient.kt
@@ -15,6 +15,11 @@
         .filter { it.startsWith("$name{") && "reason=\"$reason\"" in it }
         .sumOf { it.substringAfterLast(' ').toDouble() }
 
+    /** The value of gauge [name] without labels, or zero when it is not there. */
+    fun gauge(name: String): Double = lines()
+        .firstOrNull { it.startsWith("$name ") }
+        ?.substringAfterLast(' ')?.toDouble() ?: 0.0
+
     private fun lines() = http(Request(Method.GET, "http://$address/metrics")).bodyString().lines()
 
     private companion object {
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/Daemon.kt
@@ -87,6 +87,7 @@
     )
 
     fun start() {
+        metrics.exposeConfigVersion { traffic.view.snapshot?.version?.value ?: 0 }
         traffic.start(control)
         control.start()
         platform.start()
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/Metrics.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/Metrics.kt
@@ -39,6 +39,14 @@
             .register(registry)
     }
 
+    /** Exposes the configuration version that [version] gives. */
+    fun exposeConfigVersion(version: () -> Long) {
+        GaugeWithCallback.builder().name("pomeloladder_config_version")
+            .help("Configuration version in force")
+            .callback { callback -> callback.call(version().toDouble()) }
+            .register(registry)
+    }
+
     override fun observe(durationNanos: Long, events: Int) {
         ticks.observe(durationNanos / NANOS_PER_SECOND)
         tickEvents.inc(events.toDouble())
--- a/standins/src/main/kotlin/org/pomeloladder/standins/PlatformStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/PlatformStandIn.kt
@@ -75,6 +75,18 @@
         changed.signalAll()
     }
 
+    /** Makes reads answer with the first [entries] entries of the log only. */
+    fun setStaleAt(entries: Int) = lock.withLock {
+        mode = PlatformMode.STALE
+        staleEntries = entries
+        changed.signalAll()
+    }
+
+    /** The backend servers of [domain] as last published. */
+    fun publishedBackends(domain: FailureDomainId): List<BackendServerRecord> = lock.withLock {
+        backends[domain]?.servers.orEmpty()
+    }
+
     /** Appends [patch] to the log, whether it will be accepted or not. */
     fun publish(patch: Patch): ConfigSequence = lock.withLock {
         val entry = ConfigEntry(snapshot.sequence.next(), patch)
