Exchange domain summaries and route overflow by them

Cause: nothing told an entry VM whether another failure domain was up or what it could take, so work that found no local server went to any VM of the list. Change: SummarySystem keeps the domains table. The two reporters of a domain take turns to send its summary, and receivers pass it on to their domain. The choice of another domain moves to OverflowPolicy: local first, hysteresis, a cap on the excess per window, and a ramp after a domain returns. Round trips are assumed constants, not measured. Conclusion: liveness of VMs of other domains now follows their summaries.

--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Entities.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Entities.kt
@@ -80,9 +80,18 @@
 
 /** What is known of a failure domain, the own one included. */
 class FailureDomain(val id: FailureDomainId) {
-    var lastHeardMs = 0L
+    var lastHeardMs = Long.MIN_VALUE
+
+    /** Sequence of the newest summary; older ones are ignored. */
+    var sequence = Long.MIN_VALUE
+
+    /** Whether the domain hears the own one; a link is up only when it is up both ways. */
+    var hearsUs = false
     var isReachable = false
-    var reachableSinceMs = 0L
+
+    /** Null until the domain was lost once. A domain that was never lost has warm caches. */
+    var returnedAtMs: Long? = null
+    var servingVms: Set<VmId> = emptySet()
     val services = HashMap<ServiceId, ServiceSummary>()
 }
 
@@ -92,7 +101,13 @@
     var inFlight: Int = 0,
     var queued: Int = 0,
     var expectedWaitMs: Double = 0.0,
-)
+) {
+    /** Whether requests of this process go there at present; set by routing, reset by `SummarySystem`. */
+    var isOverflowTarget = false
+
+    /** Requests that this process may still send there in the current window. */
+    var allowance = 0
+}
 
 /** Decayed usage of a subscriber, as seen by this process and reported by others. */
 class SubscriberUsage(val id: SubscriberId) {
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/MembershipSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/MembershipSystem.kt
@@ -103,6 +103,10 @@
     private fun suspectSilent(world: World, tick: Tick) {
         for (row in world.entryVms) {
             if (row.id == world.self.vm) continue
+            if (row.record.domain != world.self.domain) {
+                followDomain(world, tick, row)
+                continue
+            }
             val silentMs = tick.nowMs - row.lastHeardMs
             if (row.liveness == Liveness.LIVE && silentMs >= SUSPECT_AFTER_MS) {
                 become(tick, row, Liveness.SUSPECTED)
@@ -113,6 +117,16 @@
         }
     }
 
+    /** VMs of other domains send no heartbeats here; their domain's summary tells which of them serve. */
+    private fun followDomain(world: World, tick: Tick, row: EntryVm) {
+        val domain = world.domains[row.record.domain]
+        val isServing = domain != null && domain.isReachable && row.id in domain.servingVms
+        val isLive = row.liveness == Liveness.LIVE
+        if (isServing != isLive) {
+            become(tick, row, if (isServing) Liveness.LIVE else Liveness.SUSPECTED)
+        }
+    }
+
     private fun become(tick: Tick, row: EntryVm, liveness: Liveness) {
         row.liveness = liveness
         tick.journal.count(Counter.MEMBERSHIP, liveness.name.lowercase())
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Messages.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Messages.kt
@@ -53,30 +53,42 @@
 @Serializable
 data class SubscriberLoad(val subscriber: SubscriberId, val costTokens: Long)
 
-/** Between reporters of failure domains, and from a reporter to its own domain. */
+/**
+ * Between reporters of failure domains, and from a VM that received summaries to its own domain. [hearsReceiver] says
+ * that the sender's domain hears the receiver's. [alive] names domains of which the sender has just received a summary
+ * that is not repeated here.
+ */
 @Serializable
 @SerialName("summaries")
-data class DomainSummaries(val domains: List<DomainSummary>) : ControlMessage
+data class DomainSummaries(
+    @SerialName("d") val domains: List<DomainSummary>,
+    @SerialName("h") val hearsReceiver: Boolean = true,
+    @SerialName("a") val alive: List<FailureDomainId> = emptyList(),
+    @SerialName("l") val entryListRevision: Long = 0,
+) : ControlMessage
 
-/** State of one failure domain. [sequence] orders summaries of one domain; a lower one is stale. */
+/**
+ * State of one failure domain. [sequence] orders summaries of one domain; a lower one is stale. [services] holds what
+ * changed and a few more in turn; [servingVms] is null when it did not change. Short field names keep a summary small,
+ * because a reporter sends one to each other domain.
+ */
 @Serializable
 data class DomainSummary(
-    val domain: FailureDomainId,
-    val sequence: Long,
-    val ageMs: Long,
-    val position: ConfigPosition?,
-    val services: List<ServiceLoad>,
-    val servingVms: List<VmId>,
+    @SerialName("d") val domain: FailureDomainId,
+    @SerialName("s") val sequence: Long,
+    @SerialName("p") val position: ConfigSequence? = null,
+    @SerialName("l") val services: List<ServiceLoad> = emptyList(),
+    @SerialName("v") val servingVms: List<VmId>? = null,
 )
 
-/** Load of one service in one failure domain. */
+/** Load of one service in one failure domain, in rounded numbers. */
 @Serializable
 data class ServiceLoad(
-    val service: ServiceId,
-    val slots: Int,
-    val inFlight: Int,
-    val queued: Int,
-    val expectedWaitMs: Int,
+    @SerialName("s") val service: ServiceId,
+    @SerialName("c") val slots: Int = 0,
+    @SerialName("i") val inFlight: Int = 0,
+    @SerialName("q") val queued: Int = 0,
+    @SerialName("w") val expectedWaitMs: Int = 0,
 )
 
 /** Asks a peer that is ahead for what follows [after]; null asks for a snapshot. */
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/RealRoutePolicy.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/RealRoutePolicy.kt
@@ -4,21 +4,23 @@
 package org.pomeloladder.decisions
 
 import org.pomeloladder.configuration.BackendServerId
-import org.pomeloladder.configuration.VmState
 
 /** A server may hold this multiple of the mean load before its keys move to the next server. */
 const val BOUNDED_LOAD_FACTOR = 1.25
 
 /** The policy of production. */
-class RealRoutePolicy : RoutePolicy {
+class RealRoutePolicy(private val overflow: OverflowPolicy = RealOverflowPolicy()) : RoutePolicy {
     override fun route(world: World, request: Request, tick: Tick): Route {
         val spec = request.spec
         if (world.mayProcessHere(spec.subscriber)) {
             val servers = world.availableServers(spec.service, tick.nowMs)
                 .filter { it.owner != null && it.id !in request.triedServers }
-            pick(servers, spec.prefix)?.let { return routeTo(world, it) }
+            pick(servers, spec.prefix)?.let { own ->
+                val vm = overflow.choose(world, request, tick, hasOwnServer = true)
+                return if (vm == null) routeTo(world, own) else Route.Peer(vm.id, null)
+            }
         }
-        return elsewhere(world, request)
+        return elsewhere(world, request, tick)
     }
 
     override fun place(world: World, attempt: Attempt, tick: Tick): BackendServerId? {
@@ -43,16 +45,8 @@
         return order.firstOrNull { it.load < bound } ?: order.minBy { it.load }
     }
 
-    private fun elsewhere(world: World, request: Request): Route {
-        val document = world.configuration.document
-        val allowed = document?.processingRegions(request.spec.subscriber).orEmpty()
-        val vms = world.entryVms.filter { vm ->
-            vm.record.domain != world.self.domain &&
-                vm.record.state == VmState.LIVE &&
-                vm.id !in request.triedVms &&
-                document?.regionOf(vm.record.domain) in allowed
-        }
-        val vm = vms.rendezvousFirst(request.spec.prefix.value) { it.id.value }
+    private fun elsewhere(world: World, request: Request, tick: Tick): Route {
+        val vm = overflow.choose(world, request, tick, hasOwnServer = false)
             ?: return Route.None(
                 request.lastRefusal ?: Refusal(RefusalReason.NO_BACKEND, retryAfterMs = 1_000),
             )
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/RoutingSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/RoutingSystem.kt
@@ -42,7 +42,10 @@
             is Route.Peer -> {
                 val attempt = world.newAttempt(tick, request, Place.Forwarded(route.vm))
                 route.server?.let { request.triedServers += it }
-                if (route.server == null) request.triedVms += route.vm
+                if (route.server == null) {
+                    request.triedVms += route.vm
+                    world.entryVms[route.vm]?.let { world.noteOverflow(it, request) }
+                }
                 tick.give(world.forward(tick, attempt, route))
                 tick.journal.count(Counter.ROUTES, if (route.server == null) "domain" else "peer")
             }
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Systems.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Systems.kt
@@ -19,6 +19,7 @@
     ConfigurationSystem(),
     MembershipSystem(),
     BackendSystem(policies.owner),
+    SummarySystem(),
     AdmissionSystem(),
     OrderSystem(),
     RoutingSystem(policies.route),
