Get configuration and VM lists from peers and hold work by outdated rules

Cause: a fresh VM without the platform knew no address to ask, list questions had no answer, a paused process could go on by an old residency rule, and a server that once was leaving stayed so. Change: seeds are dialled by address; new entries are pushed to the own domain at once and pass between domains with summaries; a known newer position holds routing and dispatch; a hold after a pause ends with the answer to a question asked after it. The platform watch follows positions that peers delivered and never goes back.

--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/Daemon.kt
@@ -71,6 +71,7 @@
         transport = transport,
         backendClient = RealBackendClient(settings.limits.backendIdleTimeoutMs),
         platform = platform,
+        seeds = settings.seeds,
         onPeerRefused = { journal.log(LogEvent.PEER_REFUSED, mapOf("reason" to it)) },
         onStop = stopped::countDown,
     )
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/RealPlatformReader.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/RealPlatformReader.kt
@@ -25,6 +25,7 @@
 
 /** How long the service may hold a watch before it answers with nothing. */
 private const val WATCH_MS = 10_000L
+private const val NANOS_PER_MS = 1_000_000L
 private const val READ_TIMEOUT_MS = 15_000L
 private const val CONNECT_TIMEOUT_MS = 2_000L
 
@@ -73,7 +74,8 @@
 
     override fun watch(isWatching: Boolean, after: ConfigSequence?) = lock.withLock {
         this.isWatching = isWatching
-        position = after
+        // Entries from peers move the position on; a question that was asked before cannot move it back.
+        position = later(position, after)
         changed.signalAll()
     }
 
@@ -84,6 +86,7 @@
     }
 
     private fun readConfiguration() = repeatWhileWatching {
+        val startNanos = System.nanoTime()
         val after = lock.withLock { position }
         val page = if (after == null) readSnapshot() else readEntries(after)
         events.post(PlatformHealth(page != null))
@@ -92,11 +95,19 @@
             return@repeatWhileWatching
         }
         val last = page.entries.lastOrNull()?.sequence ?: page.snapshot?.sequence
-        if (last == null) return@repeatWhileWatching
-        lock.withLock { position = last }
+        if (last == null) {
+            // A service that does not hold the watch must not be asked in a tight loop.
+            val elapsedMs = (System.nanoTime() - startNanos) / NANOS_PER_MS
+            if (elapsedMs < RETRY_MS) Thread.sleep(RETRY_MS - elapsedMs)
+            return@repeatWhileWatching
+        }
+        lock.withLock { position = later(position, last) }
         events.post(ConfigRead(page.snapshot, page.entries))
     }
 
+    private fun later(first: ConfigSequence?, second: ConfigSequence?): ConfigSequence? =
+        listOfNotNull(first, second).maxOrNull()
+
     private fun readVmLists() = repeatWhileWatching {
         val entries = get<EntryVmList>("/vms/entry")
         val servers = get<BackendServerList>("/vms/backends/$domain")
@@ -107,8 +118,13 @@
     private fun readSnapshot(): ConfigLogPage? =
         get<ConfigSnapshot>("/config/snapshot")?.let { ConfigLogPage(snapshot = it) }
 
-    private fun readEntries(after: ConfigSequence): ConfigLogPage? =
-        get("/config/entries?after=$after&waitMs=$WATCH_MS")
+    /** The entries after [after], or a snapshot when the service's log no longer reaches back to it. */
+    private fun readEntries(after: ConfigSequence): ConfigLogPage? {
+        val page = get<ConfigLogPage>("/config/entries?after=$after&waitMs=$WATCH_MS")
+        val first = page?.entries?.firstOrNull()?.sequence ?: return page
+        val isGap = page.snapshot == null && first > after.next()
+        return if (isGap) readSnapshot() else page
+    }
 
     private inline fun <reified T> get(path: String): T? {
         val response = client(Request(Method.GET, "http://$platform$path"))
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/TrafficPlane.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/TrafficPlane.kt
@@ -6,6 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ExecutorService
 import java.util.concurrent.Executors
+import org.pomeloladder.configuration.Address
 import org.pomeloladder.configuration.VmId
 import org.pomeloladder.decisions.AttemptEnded
 import org.pomeloladder.decisions.AttemptId
@@ -29,6 +30,7 @@
 import org.pomeloladder.decisions.RequestId
 import org.pomeloladder.decisions.RunState
 import org.pomeloladder.decisions.SendControl
+import org.pomeloladder.decisions.SendToSeeds
 import org.pomeloladder.decisions.StartAttempt
 import org.pomeloladder.decisions.StartForward
 import org.pomeloladder.decisions.StopProcess
@@ -49,6 +51,7 @@
     private val transport: PeerTransport,
     private val backendClient: BackendClient,
     private val platform: PlatformReader,
+    private val seeds: List<Address>,
     private val onPeerRefused: (String) -> Unit,
     private val onStop: () -> Unit,
 ) : PeerHandler,
@@ -95,6 +98,7 @@
             is CompleteRequest -> callers[command.request]?.complete()
             is RefuseForward -> refuseForward(command)
             is SendControl -> transport.sendControl(command.to, command.message)
+            is SendToSeeds -> seeds.forEach { transport.sendToAddress(it, command.message) }
             is WatchPlatform -> platform.watch(command.isWatching, command.after)
             is EnsureModels -> Unit
             is PublishView -> publish(command.view)
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/BackendSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/BackendSystem.kt
@@ -4,6 +4,7 @@
  */
 package org.pomeloladder.decisions
 
+import org.pomeloladder.configuration.BackendServerId
 import org.pomeloladder.configuration.BackendServerList
 import org.pomeloladder.configuration.VmId
 
@@ -40,6 +41,7 @@
         if (list.domain != world.self.domain) return
         if (list.revision <= world.process.serverListRevision) return
         world.process.serverListRevision = list.revision
+        world.process.serverList = list
         isListChanged = true
         val listed = list.servers.associateBy { it.id }
         for (record in list.servers) {
@@ -49,6 +51,8 @@
             } else {
                 if (record.state != row.record.state && row.isLeaving) logLeaving(tick, row)
                 row.record = record
+                // A newer list overrules what peers reported by an older one: a listed server may have come back.
+                row.isLeavingByPeer = false
             }
         }
         // A removed server keeps its row while attempts run on it.
@@ -60,20 +64,25 @@
         tick.journal.log(LogEvent.BACKEND_LEAVING, mapOf("server" to row.id))
 
     private fun takeLoads(world: World, event: PeerControl, heartbeat: Heartbeat) {
+        val ownWork = world.attempts.mapNotNullTo(HashSet()) { it.place.server }
         for (load in heartbeat.servers) {
             val row = world.backends[load.server] ?: continue
             if (row.owner == world.self.vm || row.owner != event.from) continue
+            // A previous owner still counts its own attempts there; the new owner's counts would corrupt them.
+            if (row.id in ownWork) continue
             row.windowSize = load.window
             row.inFlight = load.inFlight
             row.queued = load.queued
             row.inFlightCostTokens = load.costTokens
             row.firstTokenMs = load.firstTokenMs.toDouble()
         }
+        // By an older list, a server that has come back since would still count as leaving.
+        if (heartbeat.serverListRevision < world.process.serverListRevision) return
         for (id in heartbeat.leavingServers) world.backends[id]?.isLeavingByPeer = true
     }
 
     private fun assignOwners(world: World, tick: Tick) {
-        val serving = if (world.isHeld(tick.nowMs)) emptyList() else world.servingVmsOfOwnDomain()
+        val serving = if (world.isPaused(tick.nowMs)) emptyList() else world.servingVmsOfOwnDomain()
         if (serving == lastServing && !isListChanged) return
         lastServing = serving
         isListChanged = false
@@ -89,3 +98,11 @@
         }
     }
 }
+
+/** The server at whose queue or window an attempt counts here. */
+private val Place.server: BackendServerId?
+    get() = when (this) {
+        is Place.Queued -> server
+        is Place.Dispatched -> server
+        is Place.Arrived, is Place.Forwarded -> null
+    }
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Command.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Command.kt
@@ -59,6 +59,9 @@
 /** Sends a control message, or drops it when no connection is there. */
 data class SendControl(val to: VmId, val message: ControlMessage) : Command
 
+/** Sends a control message to every seed address of the settings, for a process that knows no peer yet. */
+data class SendToSeeds(val message: ControlMessage) : Command
+
 /** Starts or stops the watches of the configuration service and the VM lists. */
 data class WatchPlatform(val isWatching: Boolean, val after: ConfigSequence?) : Command
 
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/ConfigurationSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/ConfigurationSystem.kt
@@ -8,6 +8,7 @@
 import org.pomeloladder.configuration.ConfigSequence
 import org.pomeloladder.configuration.ConfigSnapshot
 import org.pomeloladder.configuration.Verdict
+import org.pomeloladder.configuration.VmId
 import org.pomeloladder.configuration.digest
 import org.pomeloladder.configuration.digestAfter
 import org.pomeloladder.configuration.fold
@@ -18,21 +19,30 @@
 /** How many entry VMs of a failure domain watch the platform. Two, so that one failure leaves a watcher. */
 const val WATCHERS_PER_DOMAIN = 2
 
+/** How often a process that lacks entries, or has no configuration at all, repeats its question. */
+const val CONFIG_ASK_INTERVAL_MS = 300L
+
 /** Folds configuration entries and snapshots. */
 class ConfigurationSystem : TickSystem {
+    private var nextAskMs = Long.MIN_VALUE
+    private var watchedAfter: ConfigSequence? = null
+
     override fun run(world: World, tick: Tick) {
         val before = world.configuration.position
-        tick.each<ConfigRead> { take(world, tick, it.snapshot, it.entries) }
+        tick.each<ConfigRead> { take(world, tick, it.snapshot, it.entries, from = null) }
         tick.each<PeerControl> { event ->
             when (val message = event.message) {
-                is ConfigEntries -> take(world, tick, message.snapshot, message.entries)
+                is ConfigEntries ->
+                    take(world, tick, message.snapshot, message.entries, event.from)
                 is ConfigAsk -> answer(world, tick, event, message)
                 is Heartbeat -> compare(world, tick, event, message)
+                is DomainSummaries -> compare(world, tick, event, message)
                 else -> Unit
             }
         }
         tick.each<PlatformHealth> { noteHealth(world, tick, it.isReachable) }
         watch(world, tick)
+        askWhileBehind(world, tick)
         if (world.configuration.position != before) {
             world.configuration.inForceSinceMs = tick.nowMs
             tick.give(PublishView(world.trafficView()))
@@ -44,9 +54,21 @@
         tick: Tick,
         snapshot: ConfigSnapshot?,
         entries: List<ConfigEntry>,
+        from: VmId?,
     ) {
         if (snapshot != null) takeSnapshot(world, tick, snapshot)
-        for (entry in entries) takeEntry(world, tick, entry)
+        val taken = entries.filter { takeEntry(world, tick, it) }
+        if (taken.isNotEmpty()) push(world, tick, taken, from)
+    }
+
+    /** Hands new entries to the own domain at once. What came from the own domain was pushed by its sender. */
+    private fun push(world: World, tick: Tick, entries: List<ConfigEntry>, from: VmId?) {
+        val sender = from?.let { world.entryVms[it] }
+        if (sender?.record?.domain == world.self.domain) return
+        for (vm in world.entryVms) {
+            val isPeer = vm.id != world.self.vm && vm.record.domain == world.self.domain
+            if (isPeer) tick.give(SendControl(vm.id, ConfigEntries(null, entries)))
+        }
     }
 
     private fun takeSnapshot(world: World, tick: Tick, offered: ConfigSnapshot) {
@@ -65,10 +87,12 @@
         logInForce(tick, offered)
     }
 
-    private fun takeEntry(world: World, tick: Tick, entry: ConfigEntry) {
+    /** Returns whether [entry] was the next one; an entry after a gap is not taken, but known to exist. */
+    private fun takeEntry(world: World, tick: Tick, entry: ConfigEntry): Boolean {
         val state = world.configuration
-        val current = state.snapshot ?: return
-        if (entry.sequence != current.sequence.next()) return
+        state.noteSeen(entry.sequence)
+        val current = state.snapshot ?: return false
+        if (entry.sequence != current.sequence.next()) return false
         val step = current.fold(entry)
         if (step.verdict is Verdict.Accepted) {
             state.digest = current.configuration.digestAfter(state.digest, entry.patch.changes)
@@ -77,6 +101,7 @@
         remember(state, entry, step.verdict)
         report(tick, entry.sequence, step.verdict)
         if (step.verdict is Verdict.Accepted) logInForce(tick, step.snapshot)
+        return true
     }
 
     private fun remember(state: ConfigurationState, entry: ConfigEntry, verdict: Verdict) {
@@ -107,12 +132,19 @@
         val state = world.configuration
         val snapshot = state.snapshot ?: return
         val after = ask.after
-        if (after != null && after >= snapshot.sequence) return
+        if (after != null && after > snapshot.sequence) state.noteSeen(after)
+        if (after != null && after >= snapshot.sequence) {
+            // A peer that was paused needs an answer also when it has missed nothing.
+            val isAnswerDue = ask.nonce != 0L && after == snapshot.sequence
+            val reply = ConfigEntries(null, emptyList(), ask.nonce)
+            if (isAnswerDue) tick.give(SendControl(event.from, reply))
+            return
+        }
         val entries = state.recentEntries.filter { after != null && it.sequence > after }
         val isComplete = after != null && entries.firstOrNull()?.sequence == after.next()
         val reply = when {
-            isComplete -> ConfigEntries(null, entries)
-            else -> ConfigEntries(snapshot, emptyList())
+            isComplete -> ConfigEntries(null, entries, ask.nonce)
+            else -> ConfigEntries(snapshot, emptyList(), ask.nonce)
         }
         tick.give(SendControl(event.from, reply))
     }
@@ -130,6 +162,38 @@
         }
     }
 
+    /** Summaries of other domains carry their position, so that entries pass a domain's lost link to the platform. */
+    private fun compare(world: World, tick: Tick, event: PeerControl, message: DomainSummaries) {
+        val own = world.configuration.snapshot?.sequence
+        val theirs = message.domains.mapNotNull { it.position }.maxOrNull() ?: return
+        if (own != null && theirs <= own) return
+        world.configuration.noteSeen(theirs)
+        tick.give(SendControl(event.from, ConfigAsk(own)))
+    }
+
+    private fun askWhileBehind(world: World, tick: Tick) {
+        val state = world.configuration
+        if (state.snapshot != null && !state.isBehind) return
+        if (tick.nowMs >= nextAskMs) {
+            nextAskMs = tick.nowMs + CONFIG_ASK_INTERVAL_MS
+            val ask = ConfigAsk(state.snapshot?.sequence)
+            if (state.snapshot == null) {
+                val process = world.process
+                val lists = VmListAsk(process.entryListRevision, process.serverListRevision)
+                tick.give(SendToSeeds(ask))
+                tick.give(SendToSeeds(lists))
+            }
+            val near = world.entryVms
+                .filter { it.id != world.self.vm && it.record.domain == world.self.domain }
+            val far = world.entryVms
+                .filter { it.record.domain != world.self.domain && it.isServing }
+            near.forEach { tick.give(SendControl(it.id, ask)) }
+            // Any process that is ahead may be in another domain; one at a time keeps the load on them low.
+            if (far.isNotEmpty()) tick.give(SendControl(far.random(tick.random).id, ask))
+        }
+        tick.wakeAt(nextAskMs)
+    }
+
     private fun noteHealth(world: World, tick: Tick, isReachable: Boolean) {
         if (world.process.isPlatformReachable == isReachable) return
         world.process.isPlatformReachable = isReachable
@@ -143,9 +207,12 @@
             .rendezvousOrder(hashKey(world.self.domain.value)) { it.value }
             .take(WATCHERS_PER_DOMAIN)
         val isWatching = world.self.vm in watchers || world.configuration.snapshot == null
-        if (isWatching == world.process.isWatching) return
+        val after = world.configuration.snapshot?.sequence
+        val isMoved = isWatching && after != watchedAfter
+        if (isWatching == world.process.isWatching && !isMoved) return
         world.process.isWatching = isWatching
-        tick.give(WatchPlatform(isWatching, world.configuration.snapshot?.sequence))
+        watchedAfter = after
+        tick.give(WatchPlatform(isWatching, after))
     }
 }
 
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/MembershipSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/MembershipSystem.kt
@@ -35,6 +35,8 @@
             when (val message = event.message) {
                 is VmLists -> message.entries?.let { takeList(world, tick, it) }
                 is Heartbeat -> hear(world, tick, event, message)
+                is VmListAsk -> answerLists(world, tick, event, message)
+                is DomainSummaries -> askForEntryList(world, tick, event, message)
                 else -> Unit
             }
         }
@@ -59,6 +61,7 @@
     private fun takeList(world: World, tick: Tick, list: EntryVmList) {
         if (list.revision <= world.process.entryListRevision) return
         world.process.entryListRevision = list.revision
+        world.process.entryList = list
         val listed = list.vms.associateBy { it.id }
         for (record in list.vms) {
             val row = world.entryVms[record.id]
@@ -91,6 +94,29 @@
         tick.give(SendControl(event.from, ask))
     }
 
+    private fun askForEntryList(
+        world: World,
+        tick: Tick,
+        event: PeerControl,
+        message: DomainSummaries,
+    ) {
+        val process = world.process
+        if (message.entryListRevision <= process.entryListRevision) return
+        val ask = VmListAsk(process.entryListRevision, process.serverListRevision)
+        tick.give(SendControl(event.from, ask))
+    }
+
+    /** The receiver ignores a server list of another failure domain, so a reporter of one needs no special case. */
+    private fun answerLists(world: World, tick: Tick, event: PeerControl, ask: VmListAsk) {
+        val process = world.process
+        val sender = world.entryVms[event.from]
+        val isOwnDomain = sender == null || sender.record.domain == world.self.domain
+        val entries = process.entryList?.takeIf { it.revision > ask.entryRevision }
+        val servers = process.serverList?.takeIf { isOwnDomain && it.revision > ask.serverRevision }
+        if (entries == null && servers == null) return
+        tick.give(SendControl(event.from, VmLists(entries, servers)))
+    }
+
     private fun drain(world: World, tick: Tick) {
         if (world.process.isDraining) return
         world.process.isDraining = true
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Messages.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Messages.kt
@@ -91,16 +91,25 @@
     @SerialName("w") val expectedWaitMs: Int = 0,
 )
 
-/** Asks a peer that is ahead for what follows [after]; null asks for a snapshot. */
+/**
+ * Asks a peer for what follows [after]; null asks for a snapshot. With a [nonce] above zero the peer answers in any case,
+ * and the asker can tell that the answer is newer than its question.
+ */
 @Serializable
 @SerialName("configAsk")
-data class ConfigAsk(val after: ConfigSequence?) : ControlMessage
+data class ConfigAsk(val after: ConfigSequence?, val nonce: Long = 0) : ControlMessage
 
-/** Answer to [ConfigAsk]: [snapshot] first when it is set, then [entries] in order. */
+/**
+ * Answer to [ConfigAsk], or new entries pushed to peers: [snapshot] first when it is set, then [entries] in order.
+ * [nonce] is that of the question, and zero in a push.
+ */
 @Serializable
 @SerialName("configEntries")
-data class ConfigEntries(val snapshot: ConfigSnapshot?, val entries: List<ConfigEntry>) :
-    ControlMessage
+data class ConfigEntries(
+    val snapshot: ConfigSnapshot?,
+    val entries: List<ConfigEntry>,
+    val nonce: Long = 0,
+) : ControlMessage
 
 /** Asks for VM lists newer than the given revisions. */
 @Serializable
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/PauseSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/PauseSystem.kt
@@ -17,8 +17,12 @@
     override fun run(world: World, tick: Tick) {
         val last = lastTickMs
         lastTickMs = tick.nowMs
-        if (last == null || tick.nowMs - last < PAUSE_THRESHOLD_MS) return
+        if (last == null || tick.nowMs - last < PAUSE_THRESHOLD_MS) {
+            endHold(world, tick)
+            return
+        }
         world.process.heldUntilMs = tick.nowMs + PAUSE_HOLD_MS
+        askPeers(world, tick)
         for (vm in world.entryVms) {
             if (vm.id != world.self.vm) vm.liveness = Liveness.UNKNOWN
         }
@@ -27,7 +31,36 @@
         tick.journal.count(Counter.PAUSES, "control")
         tick.journal.log(LogEvent.PAUSE_DETECTED, mapOf("gapMs" to tick.nowMs - last))
     }
+
+    /**
+     * Messages that waited in the inbox during the pause prove nothing, so only the answer to this question counts.
+     */
+    private fun askPeers(world: World, tick: Tick) {
+        val nonce = tick.random.nextLong(1, Long.MAX_VALUE)
+        world.process.pauseNonce = nonce
+        val ask = ConfigAsk(world.configuration.snapshot?.sequence, nonce)
+        for (vm in world.entryVms) {
+            val isPeer = vm.id != world.self.vm && vm.record.domain == world.self.domain
+            if (isPeer) tick.give(SendControl(vm.id, ask))
+        }
+    }
+
+    private fun endHold(world: World, tick: Tick) {
+        val nonce = world.process.pauseNonce
+        if (nonce == 0L) return
+        val isAnswered = tick.events.any { event ->
+            ((event as? PeerControl)?.message as? ConfigEntries)?.nonce == nonce
+        }
+        if (isAnswered) world.process.heldUntilMs = tick.nowMs
+        if (tick.nowMs >= world.process.heldUntilMs) world.process.pauseNonce = 0
+    }
 }
 
-/** Whether dispatch is held because of a recent pause. */
-fun World.isHeld(nowMs: Long): Boolean = nowMs < process.heldUntilMs
+/** Whether the process is held because of a recent pause and owns nothing. */
+fun World.isPaused(nowMs: Long): Boolean = nowMs < process.heldUntilMs
+
+/**
+ * Whether nothing may be forwarded or dispatched at [nowMs]: after a pause, or while a newer configuration is known to
+ * exist, whose residency rules may be stricter than the own ones.
+ */
+fun World.isHeld(nowMs: Long): Boolean = isPaused(nowMs) || configuration.isBehind
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/RoutingSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/RoutingSystem.kt
@@ -12,7 +12,8 @@
             if (attempt != null && attempt.spec.order == null) place(world, tick, attempt)
         }
         if (world.isHeld(tick.nowMs)) {
-            tick.wakeAt(world.process.heldUntilMs)
+            // A configuration that is behind has no known end, so the timer is never in the past.
+            tick.wakeAt(maxOf(world.process.heldUntilMs, tick.nowMs + CONFIG_ASK_INTERVAL_MS))
             return
         }
         while (true) {
@@ -27,7 +28,11 @@
             world.enqueue(tick, attempt, server)
             return
         }
-        val reason = if (world.isHeld(tick.nowMs)) RefusalReason.PAUSED else RefusalReason.NOT_OWNER
+        val reason = when {
+            world.isPaused(tick.nowMs) -> RefusalReason.PAUSED
+            world.configuration.isBehind -> RefusalReason.CONFIGURATION_BEHIND
+            else -> RefusalReason.NOT_OWNER
+        }
         world.refuseForward(tick, attempt, Refusal(reason, retryAfterMs = 0))
     }
 
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/World.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/World.kt
@@ -5,11 +5,13 @@
 
 import org.pomeloladder.configuration.Address
 import org.pomeloladder.configuration.BackendServerId
+import org.pomeloladder.configuration.BackendServerList
 import org.pomeloladder.configuration.ConfigEntry
 import org.pomeloladder.configuration.ConfigPosition
 import org.pomeloladder.configuration.ConfigSequence
 import org.pomeloladder.configuration.ConfigSnapshot
 import org.pomeloladder.configuration.Configuration
+import org.pomeloladder.configuration.EntryVmList
 import org.pomeloladder.configuration.FailureDomainId
 import org.pomeloladder.configuration.RegionId
 import org.pomeloladder.configuration.SubscriberId
@@ -61,6 +63,14 @@
     /** Highest position that any peer or request named; above the own one while entries are missing. */
     var highestSeen: ConfigSequence? = null
 
+    /** Whether a newer configuration is known to exist. Its rules may forbid what the own one allows. */
+    val isBehind: Boolean
+        get() {
+            val highest = highestSeen ?: return false
+            val own = snapshot?.sequence ?: return true
+            return highest > own
+        }
+
     val document: Configuration?
         get() = snapshot?.configuration
 
@@ -79,5 +89,12 @@
     var heldUntilMs = 0L
     var entryListRevision = 0L
     var serverListRevision = 0L
+
+    /** The newest VM lists as received, for peers that ask. */
+    var entryList: EntryVmList? = null
+    var serverList: BackendServerList? = null
+
+    /** Named in the question that a peer has to answer before the hold after a pause ends; zero outside a hold. */
+    var pauseNonce = 0L
     var nextAttempt = 0L
 }
--- a/peer/src/main/kotlin/org/pomeloladder/peer/PeerConnection.kt
+++ b/peer/src/main/kotlin/org/pomeloladder/peer/PeerConnection.kt
@@ -38,6 +38,8 @@
     val vm: VmId
         get() = peer.vm
 
+    fun isControlOf(vm: VmId) = peer.kind == ChannelKind.CONTROL && peer.vm == vm
+
     /** Writes until the connection closes. */
     fun startWriter(scope: CoroutineScope) = scope.launch {
         try {
--- a/peer/src/main/kotlin/org/pomeloladder/peer/PeerTransport.kt
+++ b/peer/src/main/kotlin/org/pomeloladder/peer/PeerTransport.kt
@@ -16,9 +16,15 @@
     /** Replaces the known addresses. Connections to VMs that are no longer known are closed. */
     fun updatePeers(addresses: Map<VmId, Address>)
 
-    /** Sends [message], or drops it when there is no connection; a dropped call starts to connect. */
+    /**
+     * Sends [message], or drops it when there is no connection; a dropped call starts to connect. To a VM of unknown
+     * address it goes back on the connection that the VM opened.
+     */
     fun sendControl(to: VmId, message: ControlMessage)
 
+    /** Sends [message] to whatever VM answers at [address]; it must prove the shared key like any other. */
+    fun sendToAddress(address: Address, message: ControlMessage)
+
     /**
      * Sends a forwarded attempt. Calls [onNotSent] when no byte of it can have left; otherwise the fate of the attempt
      * is told by frames from the peer or by [PeerHandler.onForwardsLost].
--- a/peer/src/main/kotlin/org/pomeloladder/peer/RealPeerTransport.kt
+++ b/peer/src/main/kotlin/org/pomeloladder/peer/RealPeerTransport.kt
@@ -40,6 +40,8 @@
     private val handshake = Handshake(self)
     private val dialled = ConcurrentHashMap<Pair<VmId, ChannelKind>, PeerConnection>()
     private val dialLocks = ConcurrentHashMap<Pair<VmId, ChannelKind>, Mutex>()
+    private val addressLocks = ConcurrentHashMap<Address, Mutex>()
+    private val vmsByAddress = ConcurrentHashMap<Address, VmId>()
     private val accepted = ConcurrentHashMap.newKeySet<PeerConnection>()
 
     @Volatile
@@ -70,9 +72,29 @@
             connection.trySend(frame)
             return
         }
+        if (to !in addresses) {
+            accepted.firstOrNull { it.isControlOf(to) }?.trySend(frame)
+            return
+        }
         scope.launch { connect(to, ChannelKind.CONTROL)?.trySend(frame) }
     }
 
+    override fun sendToAddress(address: Address, message: ControlMessage) {
+        // The own address may be among the seeds, because all VMs share one list of them.
+        if (address == listen) return
+        scope.launch { connectTo(address)?.trySend(ControlFrame(message)) }
+    }
+
+    private suspend fun connectTo(address: Address): PeerConnection? {
+        val lock = addressLocks.computeIfAbsent(address) { Mutex() }
+        return lock.withLock {
+            val known = vmsByAddress[address]?.let { dialled[it to ChannelKind.CONTROL] }
+            known ?: dial(address, ChannelKind.CONTROL, expected = null)?.also {
+                vmsByAddress[address] = it.vm
+            }
+        }
+    }
+
     override fun sendForward(to: VmId, frame: ForwardFrame, onNotSent: () -> Unit) {
         val connection = dialled[to to ChannelKind.TRAFFIC]
         if (connection != null && connection.trySend(frame)) return
@@ -97,11 +119,16 @@
     private suspend fun connect(to: VmId, kind: ChannelKind): PeerConnection? {
         val key = to to kind
         val lock = dialLocks.computeIfAbsent(key) { Mutex() }
-        return lock.withLock { dialled[key] ?: dial(to, kind) }
+        return lock.withLock {
+            dialled[key] ?: addresses[to]?.let { dial(it, kind, expected = to) }
+        }
     }
 
-    private suspend fun dial(to: VmId, kind: ChannelKind): PeerConnection? {
-        val address = addresses[to] ?: return null
+    private suspend fun dial(
+        address: Address,
+        kind: ChannelKind,
+        expected: VmId?,
+    ): PeerConnection? {
         var socket: Socket? = null
         try {
             return withTimeout(HANDSHAKE_TIMEOUT_MS) {
@@ -112,7 +139,9 @@
                 val input = opened.openReadChannel()
                 val output = opened.openWriteChannel()
                 val peer = handshake.dial(input, output, kind)
-                if (peer.vm != to) throw IOException("dialled $to at $address, found ${peer.vm}")
+                if (expected != null && peer.vm != expected) {
+                    throw IOException("dialled $expected at $address, found ${peer.vm}")
+                }
                 PeerConnection(peer, opened, input, output, meter).also(::runDialled)
             }
         } catch (_: TimeoutCancellationException) {
@@ -136,7 +165,11 @@
         connection.startWriter(scope)
         scope.launch {
             connection.readAll { frame ->
-                if (frame is TrafficFrame) handler.onTraffic(connection.vm, frame, connection)
+                when (frame) {
+                    is TrafficFrame -> handler.onTraffic(connection.vm, frame, connection)
+                    is ControlFrame -> handler.onControl(connection.vm, frame.message)
+                    is Hello, is Proof -> connection.close()
+                }
             }
             dialled.remove(key, connection)
             if (connection.peer.kind == ChannelKind.TRAFFIC) handler.onForwardsLost(connection.vm)
@@ -158,10 +191,7 @@
         }
         accepted -= connection
         if (isControl) {
-            val isLast = accepted.none {
-                it.vm == connection.vm &&
-                    it.peer.kind == ChannelKind.CONTROL
-            }
+            val isLast = accepted.none { it.isControlOf(connection.vm) }
             if (isLast) handler.onControlLink(connection.vm, isUp = false)
         } else {
             handler.onRepliesLost(connection.vm, connection)
