--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/MembershipSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/MembershipSystem.kt
@@ -35,6 +35,8 @@
             when (val message = event.message) {
                 is VmLists -> message.entries?.let { takeList(world, tick, it) }
                 is Heartbeat -> hear(world, tick, event, message)
+                is VmListAsk -> answerLists(world, tick, event, message)
+                is DomainSummaries -> askForEntryList(world, tick, event, message)
                 else -> Unit
             }
         }
@@ -59,6 +61,7 @@
     private fun takeList(world: World, tick: Tick, list: EntryVmList) {
         if (list.revision <= world.process.entryListRevision) return
         world.process.entryListRevision = list.revision
+        world.process.entryList = list
         val listed = list.vms.associateBy { it.id }
         for (record in list.vms) {
             val row = world.entryVms[record.id]
@@ -91,6 +94,29 @@
         tick.give(SendControl(event.from, ask))
     }
 
+    private fun askForEntryList(
+        world: World,
+        tick: Tick,
+        event: PeerControl,
+        message: DomainSummaries,
+    ) {
+        val process = world.process
+        if (message.entryListRevision <= process.entryListRevision) return
+        val ask = VmListAsk(process.entryListRevision, process.serverListRevision)
+        tick.give(SendControl(event.from, ask))
+    }
+
+    /** The receiver ignores a server list of another failure domain, so a reporter of one needs no special case. */
+    private fun answerLists(world: World, tick: Tick, event: PeerControl, ask: VmListAsk) {
+        val process = world.process
+        val sender = world.entryVms[event.from]
+        val isOwnDomain = sender == null || sender.record.domain == world.self.domain
+        val entries = process.entryList?.takeIf { it.revision > ask.entryRevision }
+        val servers = process.serverList?.takeIf { isOwnDomain && it.revision > ask.serverRevision }
+        if (entries == null && servers == null) return
+        tick.give(SendControl(event.from, VmLists(entries, servers)))
+    }
+
     private fun drain(world: World, tick: Tick) {
         if (world.process.isDraining) return
         world.process.isDraining = true
@@ -103,6 +129,10 @@
     private fun suspectSilent(world: World, tick: Tick) {
         for (row in world.entryVms) {
             if (row.id == world.self.vm) continue
+            if (row.record.domain != world.self.domain) {
+                followDomain(world, tick, row)
+                continue
+            }
             val silentMs = tick.nowMs - row.lastHeardMs
             if (row.liveness == Liveness.LIVE && silentMs >= SUSPECT_AFTER_MS) {
                 become(tick, row, Liveness.SUSPECTED)
@@ -113,6 +143,16 @@
         }
     }
 
+    /** VMs of other domains send no heartbeats here; their domain's summary tells which of them serve. */
+    private fun followDomain(world: World, tick: Tick, row: EntryVm) {
+        val domain = world.domains[row.record.domain]
+        val isServing = domain != null && domain.isReachable && row.id in domain.servingVms
+        val isLive = row.liveness == Liveness.LIVE
+        if (isServing != isLive) {
+            become(tick, row, if (isServing) Liveness.LIVE else Liveness.SUSPECTED)
+        }
+    }
+
     private fun become(tick: Tick, row: EntryVm, liveness: Liveness) {
         row.liveness = liveness
         tick.journal.count(Counter.MEMBERSHIP, liveness.name.lowercase())
