--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/BackendClient.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/BackendClient.kt
@@ -7,6 +7,7 @@
 import org.pomeloladder.decisions.AttemptId
 import org.pomeloladder.decisions.AttemptOutcome
 import org.pomeloladder.decisions.BackendCall
+import org.pomeloladder.decisions.Refusal
 import org.pomeloladder.decisions.RequestSpec
 
 /** One call of a backend server. */
@@ -52,6 +53,9 @@
 
     /** The lookup of an order found nothing. */
     data object OrderAbsent : BackendResult
+
+    /** The lookup of an order gave no usable answer. */
+    data class LookUpFailed(val refusal: Refusal) : BackendResult
 }
 
 /** Calls backend servers. */
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/CallerApi.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/CallerApi.kt
@@ -28,6 +28,7 @@
 import org.pomeloladder.decisions.RefusalReason
 import org.pomeloladder.decisions.RequestArrived
 import org.pomeloladder.decisions.RequestSpec
+import org.pomeloladder.decisions.RunState
 import org.pomeloladder.decisions.directory
 import org.pomeloladder.decisions.hashKey
 import org.pomeloladder.decisions.ownHomeToken
@@ -43,8 +44,8 @@
 /** A first message at least this long is a shared briefing or manual and is a prefix by itself. */
 private const val SHARED_PREFIX_CHARACTERS = 512
 
-/** Cost of an order for fair sharing, in tokens. */
-private const val ORDER_COST_TOKENS = 1
+/** Cost of a call of a plain service for fair sharing, in tokens. */
+private const val PLAIN_COST_TOKENS = 1
 
 /** How much longer than its deadline a caller's thread waits for the control thread's word. */
 private const val ANSWER_GRACE_MS = 5_000L
@@ -62,6 +63,7 @@
     fun handler(): HttpHandler = routes(
         "/v1/entries" bind Method.GET to ::entries,
         "/v1/chat/completions" bind Method.POST to ::chat,
+        "/v1/services/{service}" bind Method.POST to ::callService,
         "/v1/orders" bind Method.POST to ::runOrder,
         "/v1/orders/{key}" bind Method.GET to { orderCall(it, OrderCall.LOOK_UP) },
         "/v1/orders/{key}" bind Method.DELETE to { orderCall(it, OrderCall.WITHDRAW) },
@@ -90,6 +92,9 @@
             return@authenticated bad("body is not a chat request: ${e.firstLine()}")
         }
         chat.problem()?.let { return@authenticated bad(it) }
+        if (caller.serviceOf(ServiceId(chat.model)) is Service.Plain) {
+            return@authenticated bad("${chat.model} is not a model")
+        }
         val spec = chatSpec(request, caller, chat)
         val exchange = CallerExchange(spec.id, bytes, control)
         start(exchange, spec)
@@ -165,18 +170,51 @@
             .body(stream)
     }
 
-    private fun runOrder(request: Request): Response = authenticated(request) { caller ->
+    private fun callService(request: Request): Response = authenticated(request) { caller ->
         val bytes = request.readBody(limits.maxBodyBytes) ?: return@authenticated tooLarge()
-        val order = try {
-            daemonJson.decodeFromString<OrderRequest>(bytes.decodeToString())
-        } catch (e: SerializationException) {
-            return@authenticated bad("body is not an order: ${e.firstLine()}")
+        val service = ServiceId(request.path("service").orEmpty())
+        val configured = caller.serviceOf(service)
+        if (configured !is Service.Plain) return@authenticated unknownService(service)
+        if (!configured.idempotent) {
+            return@authenticated bad("calls of $service go through /v1/orders")
         }
-        if (order.order !is JsonObject) return@authenticated bad("order must be a JSON object")
+        val spec = RequestSpec(
+            id = requestIds.next(),
+            subscriber = caller.subscriber,
+            service = service,
+            promptTokens = PLAIN_COST_TOKENS,
+            maxOutputTokens = 0,
+            prefix = PrefixKey(hashKey(bytes.decodeToString())),
+            budgetMs = request.deadlineMs() ?: caller.deadlineMs,
+            sequence = caller.snapshot.sequence,
+        )
+        val exchange = CallerExchange(spec.id, bytes, control)
+        start(exchange, spec)
+        answerWhole(exchange, spec)
+    }
+
+    private fun runOrder(request: Request): Response {
         val text = request.header("Idempotency-Key")
-            ?: return@authenticated bad("the header Idempotency-Key is missing")
-        val key = OrderKey.parse(text) ?: return@authenticated homeRequired(text)
-        call(request, caller, ServiceId(order.service), key, OrderCall.RUN, bytes)
+        val key = text?.let(OrderKey::parse)
+        // The key may have run in an earlier call, of which a refusal of this one says nothing.
+        val runState = if (key == null) RunState.NOT_RUN else RunState.UNKNOWN
+        return authenticated(request, runState) { caller ->
+            val bytes = request.readBody(limits.maxBodyBytes)
+                ?: return@authenticated tooLarge(runState)
+            val order = try {
+                daemonJson.decodeFromString<OrderRequest>(bytes.decodeToString())
+            } catch (e: SerializationException) {
+                return@authenticated bad("body is not an order: ${e.firstLine()}", runState)
+            }
+            if (order.order !is JsonObject) {
+                return@authenticated bad("order must be a JSON object", runState)
+            }
+            when {
+                text == null -> bad("the header Idempotency-Key is missing")
+                key == null -> homeRequired(text)
+                else -> call(request, caller, ServiceId(order.service), key, OrderCall.RUN, bytes)
+            }
+        }
     }
 
     private fun homeRequired(reference: String): Response {
@@ -190,12 +228,15 @@
     }
 
     private fun orderCall(request: Request, orderCall: OrderCall): Response =
-        authenticated(request) { caller ->
+        authenticated(request, RunState.UNKNOWN) { caller ->
             val text = request.path("key").orEmpty()
             val key =
                 OrderKey.parse(text) ?: return@authenticated bad("not an order key: \"$text\"")
             val service = request.query("service")?.let(::ServiceId) ?: caller.onlyOrderService()
-                ?: return@authenticated bad("the query parameter service is missing")
+                ?: return@authenticated bad(
+                    "the query parameter service is missing",
+                    RunState.UNKNOWN,
+                )
             call(request, caller, service, key, orderCall, ByteArray(0))
         }
 
@@ -207,16 +248,14 @@
         orderCall: OrderCall,
         bytes: ByteArray,
     ): Response {
-        val configured = caller.snapshot.configuration.services[service]
-        if (configured !is Service.Plain) {
-            val detail = "no plain service $service"
-            return Refusal(RefusalReason.UNKNOWN_SERVICE, detail = detail).toResponse()
+        if (caller.serviceOf(service) !is Service.Plain) {
+            return unknownService(service, RunState.UNKNOWN)
         }
         val spec = RequestSpec(
             id = requestIds.next(),
             subscriber = caller.subscriber,
             service = service,
-            promptTokens = ORDER_COST_TOKENS,
+            promptTokens = PLAIN_COST_TOKENS,
             maxOutputTokens = 0,
             prefix = PrefixKey(hashKey(key.toString())),
             budgetMs = request.deadlineMs() ?: caller.deadlineMs,
@@ -226,10 +265,10 @@
         )
         val exchange = CallerExchange(spec.id, bytes, control)
         start(exchange, spec)
-        return answerOrder(exchange, spec)
+        return answerWhole(exchange, spec)
     }
 
-    private fun answerOrder(exchange: CallerExchange, spec: RequestSpec): Response {
+    private fun answerWhole(exchange: CallerExchange, spec: RequestSpec): Response {
         var body: AnswerPart.Body? = null
         while (true) {
             when (val item = exchange.next(spec.budgetMs + ANSWER_GRACE_MS)) {
@@ -257,13 +296,17 @@
         return refusal.toResponse(spec.id)
     }
 
-    private fun authenticated(request: Request, serve: (Caller) -> Response): Response {
+    private fun authenticated(
+        request: Request,
+        runState: RunState = RunState.NOT_RUN,
+        serve: (Caller) -> Response,
+    ): Response {
         val snapshot = traffic.view.snapshot
-            ?: return Refusal(RefusalReason.NOT_READY, retryAfterMs = 500).toResponse()
+            ?: return Refusal(RefusalReason.NOT_READY, runState, retryAfterMs = 500).toResponse()
         val key = request.apiKey()
-            ?: return Refusal(RefusalReason.UNAUTHORIZED, detail = "no API key").toResponse()
+            ?: return Refusal(RefusalReason.UNAUTHORIZED, runState, "no API key").toResponse()
         val subscriber = subscribers.find(snapshot, key)
-            ?: return Refusal(RefusalReason.UNAUTHORIZED, detail = "unknown API key").toResponse()
+            ?: return Refusal(RefusalReason.UNAUTHORIZED, runState, "unknown API key").toResponse()
         return serve(Caller(subscriber, snapshot))
     }
 
@@ -274,6 +317,8 @@
         val deadlineMs: Long
             get() = group.deadlineMs
 
+        fun serviceOf(id: ServiceId): Service? = snapshot.configuration.services[id]
+
         /** The one service of the group whose calls are orders, or null when there is none or a choice. */
         fun onlyOrderService(): ServiceId? = group.services.singleOrNull {
             val service = snapshot.configuration.services[it]
@@ -301,10 +346,14 @@
 private fun json(text: String) =
     Response(Status.OK).header("Content-Type", "application/json").body(text)
 
-private fun bad(detail: String) = Refusal(RefusalReason.BAD_REQUEST, detail = detail).toResponse()
+private fun bad(detail: String, runState: RunState = RunState.NOT_RUN) =
+    Refusal(RefusalReason.BAD_REQUEST, runState, detail).toResponse()
+
+private fun unknownService(service: ServiceId, runState: RunState = RunState.NOT_RUN) =
+    Refusal(RefusalReason.UNKNOWN_SERVICE, runState, "no plain service $service").toResponse()
 
-private fun tooLarge(): Response =
-    Refusal(RefusalReason.BAD_REQUEST, detail = "body is too large").toResponse()
+private fun tooLarge(runState: RunState = RunState.NOT_RUN): Response =
+    bad("body is too large", runState)
         .status(Status.REQUEST_ENTITY_TOO_LARGE)
 
 private fun SerializationException.firstLine() = message.orEmpty().lineSequence().first()
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/ErrorResponses.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/ErrorResponses.kt
@@ -24,7 +24,7 @@
     RefusalReason.HOME_REQUIRED, RefusalReason.ORDER_EXPIRED, RefusalReason.ORDER_IN_PROGRESS,
     RefusalReason.WITHDRAWN,
     -> Status.CONFLICT
-    RefusalReason.HOME_GONE -> Status.NOT_FOUND
+    RefusalReason.HOME_GONE, RefusalReason.ORDER_NOT_FOUND -> Status.NOT_FOUND
     RefusalReason.BACKEND_FAILED, RefusalReason.CONNECTION_LOST -> Status.BAD_GATEWAY
     else -> Status.SERVICE_UNAVAILABLE
 }
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/RealBackendClient.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/RealBackendClient.kt
@@ -8,6 +8,7 @@
 
 import java.io.IOException
 import java.io.InputStream
+import java.util.concurrent.ExecutionException
 import kotlinx.serialization.SerializationException
 import org.eclipse.jetty.client.HttpClient
 import org.http4k.client.DualSyncAsyncHttpHandler
@@ -45,6 +46,10 @@
         calling.set(attempt)
         val response = try {
             client(request(attempt))
+        } catch (e: ExecutionException) {
+            // http4k maps only some causes to a response; a closed connection and an idle timeout come as exceptions.
+            val cause = e.cause?.javaClass?.simpleName ?: "no cause"
+            Response(Status.SERVICE_UNAVAILABLE.description(cause))
         } finally {
             calling.remove()
         }
@@ -62,6 +67,13 @@
                 .header("Resume-Offset", attempt.fromToken.toString())
                 .header("Content-Type", "application/json")
                 .body(engineBody(attempt.sink.payload, attempt.sink.deliveredText))
+            BackendCall.CALL_SERVICE -> Request(
+                Method.POST,
+                "$base/services/${attempt.spec.service}",
+            )
+                .header("Request-Id", attempt.id.value)
+                .header("Content-Type", "application/json")
+                .body(attempt.sink.payload.decodeToString())
             BackendCall.RUN_ORDER -> Request(Method.POST, "$base/orders")
                 .header("Idempotency-Key", key)
                 .header("Connection", "close")
@@ -75,14 +87,51 @@
     private fun read(attempt: BackendAttempt, response: Response): BackendResult {
         val status = response.status
         if (attempt.isCancelled) return ended(AttemptOutcome.Cancelled)
+        if (attempt.call == BackendCall.LOOK_UP_ORDER) return readLookUp(attempt, response)
         if (!attempt.isAnswered) return ended(transportFailure(attempt, status))
-        if (attempt.call == BackendCall.LOOK_UP_ORDER && status == Status.NOT_FOUND) {
-            return BackendResult.OrderAbsent
-        }
         return when (attempt.call) {
             BackendCall.SERVE -> ended(readStream(attempt, response))
-            else -> ended(readBody(attempt, response))
+            BackendCall.CALL_SERVICE -> ended(readCall(attempt, response))
+            else -> ended(readOrder(attempt, response))
+        }
+    }
+
+    /** Only a found order and a certain absence are answers; an error of the server says nothing about the order. */
+    private fun readLookUp(attempt: BackendAttempt, response: Response): BackendResult {
+        val status = response.status
+        val refusal = when {
+            !attempt.isAnswered -> Refusal(
+                RefusalReason.BACKEND_UNREACHABLE,
+                RunState.UNKNOWN,
+                status.description,
+            )
+            status == Status.NOT_FOUND -> return BackendResult.OrderAbsent
+            status.successful -> return when (val outcome = readBody(attempt, response)) {
+                is AttemptOutcome.Failed -> BackendResult.LookUpFailed(outcome.refusal)
+                else -> ended(outcome)
+            }
+            else -> Refusal(
+                RefusalReason.BACKEND_FAILED,
+                RunState.UNKNOWN,
+                "status ${status.code}",
+            )
         }
+        return BackendResult.LookUpFailed(refusal)
+    }
+
+    private fun readCall(attempt: BackendAttempt, response: Response): AttemptOutcome {
+        val status = response.status
+        if (status == Status.TOO_MANY_REQUESTS || status == Status.SERVICE_UNAVAILABLE) {
+            return AttemptOutcome.NotSent(Refusal(RefusalReason.BACKEND_BUSY))
+        }
+        return readBody(attempt, response)
+    }
+
+    /** A redirect is not passed on, because the caller's HTTP client would repeat the order at its target. */
+    private fun readOrder(attempt: BackendAttempt, response: Response): AttemptOutcome {
+        val status = response.status
+        if (status.redirection) return failed(RefusalReason.BACKEND_FAILED, "status ${status.code}")
+        return readBody(attempt, response)
     }
 
     private fun readBody(attempt: BackendAttempt, response: Response): AttemptOutcome = try {
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/TrafficPlane.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/TrafficPlane.kt
@@ -18,6 +18,7 @@
 import org.pomeloladder.decisions.ForwardArrived
 import org.pomeloladder.decisions.ForwardCancelled
 import org.pomeloladder.decisions.OrderAbsent
+import org.pomeloladder.decisions.OrderLookUpFailed
 import org.pomeloladder.decisions.PeerControl
 import org.pomeloladder.decisions.PeerDown
 import org.pomeloladder.decisions.PeerUp
@@ -34,6 +35,7 @@
 import org.pomeloladder.decisions.StopProcess
 import org.pomeloladder.decisions.TrafficView
 import org.pomeloladder.decisions.WatchPlatform
+import org.pomeloladder.decisions.WithdrawForward
 import org.pomeloladder.peer.CancelFrame
 import org.pomeloladder.peer.EndFrame
 import org.pomeloladder.peer.ForwardFrame
@@ -90,6 +92,7 @@
         when (command) {
             is StartAttempt -> startAttempt(command)
             is StartForward -> startForward(command)
+            is WithdrawForward -> transport.sendCancel(command.to, CancelFrame(command.attempt))
             is CancelAttempt -> cancel(command.attempt)
             is RefuseRequest -> callers[command.request]?.refuse(command.refusal)
             is CompleteRequest -> callers[command.request]?.complete()
@@ -166,6 +169,8 @@
         running.remove(attempt.id, attempt)
         when (result) {
             is BackendResult.OrderAbsent -> events.post(OrderAbsent(attempt.id))
+            is BackendResult.LookUpFailed ->
+                events.post(OrderLookUpFailed(attempt.id, result.refusal))
             is BackendResult.Ended -> {
                 arrived.remove(attempt.id)
                 attempt.sink.ended(attempt.id, result.outcome)
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/AdmissionSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/AdmissionSystem.kt
@@ -6,6 +6,7 @@
 
 import org.pomeloladder.configuration.Configuration
 import org.pomeloladder.configuration.RegionId
+import org.pomeloladder.configuration.Service
 import org.pomeloladder.configuration.SubscriberId
 
 /** Most requests of callers that one process holds. */
@@ -21,7 +22,7 @@
     private fun admit(world: World, tick: Tick, spec: RequestSpec) {
         val refusal = world.refusalOf(spec) ?: overload(world)
         if (refusal != null) {
-            tick.refuse(spec.id, refusal)
+            tick.refuse(spec.id, world.provable(tick, spec, refusal))
             return
         }
         val request = Request(spec, tick.nowMs)
@@ -36,8 +37,11 @@
     }
 
     private fun admitForward(world: World, tick: Tick, event: ForwardArrived) {
-        val refusal = world.refusalOf(event.spec) ?: residencyHere(world, event.spec)
-        if (refusal != null) {
+        // A frame that arrives twice must not replace an attempt that is under way.
+        if (event.attempt in world.attempts) return
+        val found = world.refusalOf(event.spec) ?: residencyHere(world, event.spec)
+        if (found != null) {
+            val refusal = world.provable(tick, event.spec, found)
             tick.give(RefuseForward(event.attempt, event.from, refusal))
             tick.journal.count(Counter.REFUSALS, refusal.reason.code)
             return
@@ -77,6 +81,11 @@
     if (spec.service !in services) {
         return Refusal(RefusalReason.UNKNOWN_SERVICE, detail = "unknown service ${spec.service}")
     }
+    val service = services[spec.service]
+    if (spec.order == null && service is Service.Plain && !service.idempotent) {
+        val detail = "calls of ${spec.service} must not be repeated and go through /v1/orders"
+        return Refusal(RefusalReason.BAD_REQUEST, detail = detail)
+    }
     val group = groups[subscriber.group]
     if (group == null || spec.service !in group.services) {
         return Refusal(
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Command.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Command.kt
@@ -25,9 +25,12 @@
 
 /** What to ask of the backend server. */
 enum class BackendCall {
-    /** An idempotent call; it may be repeated elsewhere. */
+    /** A request to a model engine; it may be repeated elsewhere. */
     SERVE,
 
+    /** A call of an idempotent plain service; it may be repeated elsewhere. */
+    CALL_SERVICE,
+
     /** A call that runs at most once. It is sent on a connection of its own and never repeated. */
     RUN_ORDER,
 
@@ -47,6 +50,12 @@
 /** Stops an attempt wherever it is. The traffic threads answer with [AttemptEnded]. */
 data class CancelAttempt(val attempt: AttemptId) : Command
 
+/**
+ * Asks [to] to withdraw a forwarded order that is not dispatched there yet. Its answer, or the outcome of the order, ends
+ * the attempt.
+ */
+data class WithdrawForward(val attempt: AttemptId, val to: VmId) : Command
+
 /** Ends a caller's request with a refusal. Bytes that were already delivered stay delivered. */
 data class RefuseRequest(val request: RequestId, val refusal: Refusal) : Command
 
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/CompletionSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/CompletionSystem.kt
@@ -46,7 +46,20 @@
         request.attempts -= attempt.id
         when (val outcome = event.outcome) {
             is AttemptOutcome.Completed -> complete(world, tick, request, attempt.id)
-            is AttemptOutcome.NotSent -> world.afterLoss(tick, request, outcome.refusal)
+            is AttemptOutcome.NotSent -> {
+                val isOwnWord = attempt.place is Place.Forwarded && outcome.refusal.isByIngress
+                val refusal =
+                    if (isOwnWord) {
+                        world.provable(
+                            tick,
+                            attempt.spec,
+                            outcome.refusal,
+                        )
+                    } else {
+                        outcome.refusal
+                    }
+                world.afterLoss(tick, request, refusal)
+            }
             is AttemptOutcome.Failed -> {
                 if (request.winner == attempt.id) request.winner = null
                 request.deliveredTokens = maxOf(request.deliveredTokens, outcome.deliveredTokens)
@@ -89,6 +102,10 @@
     }
 
     private fun expire(world: World, tick: Tick, request: Request) {
+        if (request.spec.order != null) {
+            world.expireOrder(tick, request)
+            return
+        }
         val wasSent = request.attempts.any { id ->
             world.attempts[id]?.place.let { it is Place.Dispatched || it is Place.Forwarded }
         }
@@ -116,15 +133,23 @@
     tick.refuse(request.spec.id, refusal)
 }
 
+/** Whether the ingress itself gave this refusal of a forward, without a word from the other process. */
+private val Refusal.isByIngress: Boolean
+    get() = reason == RefusalReason.PEER_UNREACHABLE || reason == RefusalReason.CALLER_GONE
+
 /**
  * Stops [attempt]. A queued one ends at once and is provably not run; one already sent is cancelled by the traffic
  * threads, unless it is an order, which must be left to end by itself.
  */
 fun World.cancel(tick: Tick, attempt: Attempt, reason: RefusalReason) {
+    if (attempt.spec.order != null) {
+        cancelOrder(tick, attempt, reason)
+        return
+    }
     when (attempt.place) {
         is Place.Queued -> endQueued(tick, attempt, Refusal(reason))
         is Place.Arrived -> endUnsent(tick, attempt, Refusal(reason))
-        is Place.Dispatched -> if (attempt.spec.order == null) tick.give(CancelAttempt(attempt.id))
+        is Place.Dispatched -> tick.give(CancelAttempt(attempt.id))
         is Place.Forwarded -> tick.give(CancelAttempt(attempt.id))
     }
 }
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/DispatchSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/DispatchSystem.kt
@@ -5,6 +5,7 @@
 package org.pomeloladder.decisions
 
 import org.pomeloladder.configuration.BackendServerId
+import org.pomeloladder.configuration.Service
 
 /** How long a server that refused a connection gets no new work. */
 const val UNREACHABLE_MS = 1_000L
@@ -31,6 +32,7 @@
         val attempt = world.attempts[id] ?: return
         val place = attempt.place as? Place.Dispatched ?: return
         val server = world.backends[place.server] ?: return
+        if (attempt.spec.order != null) return
         attempt.firstTokenMs = tick.nowMs
         server.firstTokenMs =
             average(server.firstTokenMs, (tick.nowMs - attempt.dispatchedMs).toDouble())
@@ -38,6 +40,7 @@
 
     private fun release(world: World, tick: Tick, event: AttemptEnded) {
         val attempt = world.attempts[event.attempt] ?: return
+        if (attempt.spec.order != null) return
         val place = attempt.place as? Place.Dispatched ?: return
         val server = world.backends[place.server] ?: return
         server.inFlight -= 1
@@ -95,8 +98,7 @@
         attempt.dispatchedMs = tick.nowMs
         server.inFlight += 1
         server.inFlightCostTokens += attempt.spec.costTokens
-        val call = if (attempt.spec.order == null) BackendCall.SERVE else BackendCall.RUN_ORDER
-        world.orderOf(attempt)?.state = OrderState.DISPATCHED
+        val call = world.callOf(attempt.spec)
         tick.give(StartAttempt(attempt.id, attempt.spec, server.record, call, attempt.fromToken))
     }
 }
@@ -133,7 +135,6 @@
 
 /** Ends an attempt of which no byte was sent: refuses the peer's forward, or decides the caller's request anew. */
 fun World.endUnsent(tick: Tick, attempt: Attempt, refusal: Refusal) {
-    orderOf(attempt)?.state = OrderState.WITHDRAWN
     if (attempt.origin is Origin.Peer) {
         refuseForward(tick, attempt, refusal)
         return
@@ -144,6 +145,8 @@
     afterLoss(tick, request, refusal)
 }
 
-/** The order that [attempt] runs, when this process is its home. */
-fun World.orderOf(attempt: Attempt): Order? =
-    attempt.spec.order?.let { orders[it] }?.takeIf { it.attempt == attempt.id }
+/** How a backend server is asked for idempotent work of [spec]. */
+private fun World.callOf(spec: RequestSpec): BackendCall {
+    val service = configuration.document?.services?.get(spec.service)
+    return if (service is Service.Plain) BackendCall.CALL_SERVICE else BackendCall.SERVE
+}
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Entities.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Entities.kt
@@ -112,6 +112,9 @@
     var deliveredTokens = 0
     var isHedged = false
     var retries = 0
+
+    /** Whether the home of a forwarded order was asked to withdraw it after the deadline. */
+    var isWithdrawing = false
     var lastRefusal: Refusal? = null
 }
 
@@ -151,6 +154,9 @@
     /** First token offset that the attempt has to deliver; above zero when it resumes a broken stream. */
     var fromToken = 0
     var isHedge = false
+
+    /** Whether the call under way only looks an order up. */
+    var isLookUp = false
     var dispatchedMs = 0L
     var firstTokenMs = 0L
     var deliveredTokens = 0
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Event.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Event.kt
@@ -62,6 +62,9 @@
  */
 data class OrderAbsent(val attempt: AttemptId) : Event
 
+/** The lookup of an order's attempt gave no answer that can be used, so nothing is known from it. */
+data class OrderLookUpFailed(val attempt: AttemptId, val refusal: Refusal) : Event
+
 /** A control connection to [vm] was opened by either side; both sides have proved the shared key. */
 data class PeerUp(val vm: VmId) : Event
 
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/OrderSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/OrderSystem.kt
@@ -1,65 +1,136 @@
 /*
  * Orders run at most once. Only the home that an order key names may dispatch it, and it does so once; every other
  * process forwards the order there or, when the home is gone, looks it up.
+ *
+ * "Not run" is said by the home alone, and only of a key that it has made a tombstone of or that never left its queue.
  */
 package org.pomeloladder.decisions
 
-/** Keeps the table of orders and routes order calls. */
+import org.pomeloladder.configuration.BackendServerId
+
+/** How long an ingress waits for the home's answer to a withdrawal after the caller's deadline. */
+const val WITHDRAW_WAIT_MS = 1_000L
+
+/** Most orders that wait for one server at one home. */
+const val MAX_QUEUED_ORDERS = 256
+
+private const val ATTEMPT_SCAN_MS = 100L
+
+/** Keeps the table of orders, routes order calls and dispatches orders within windows of their own. */
 class OrderSystem : TickSystem {
+    private val heldRequests = LinkedHashSet<RequestId>()
+    private val heldAttempts = LinkedHashSet<AttemptId>()
+    private var nextScanMs = 0L
+    private var lastEpoch = 0L
+
     override fun run(world: World, tick: Tick) {
+        forgetExpired(world)
+        if (!world.isHeld(tick.nowMs)) releaseHeld(world, tick)
         tick.each<RequestArrived> { event ->
             val request = world.requests[event.spec.id]
             if (request != null && event.spec.order != null) start(world, tick, request)
         }
         tick.each<ForwardArrived> { event ->
             val attempt = world.attempts[event.attempt]
-            if (attempt != null && event.spec.order != null) handle(world, tick, attempt)
+            val isNew = attempt?.place is Place.Arrived && attempt.spec.order != null
+            if (attempt != null && isNew) handle(world, tick, attempt)
         }
         tick.each<OrderAbsent> { absent(world, tick, it.attempt) }
-        tick.each<AttemptEnded> { settle(world, tick, it) }
+        tick.each<OrderLookUpFailed> { lookUpFailed(world, tick, it) }
+        tick.each<AttemptEnded> { ended(world, tick, it) }
+        expireForwarded(world, tick)
+        for (window in world.orderWindows) fill(world, tick, window)
+    }
+
+    /** Orders of epochs before the previous one are only looked up, so their rows decide nothing. */
+    private fun forgetExpired(world: World) {
+        val epoch = world.entryVms[world.self.vm]?.epoch ?: 0
+        if (epoch == lastEpoch) return
+        lastEpoch = epoch
+        world.orders.removeIf { it.attempt == null && world.isExpired(it.key) }
+    }
+
+    private fun releaseHeld(world: World, tick: Tick) {
+        val requests = heldRequests.mapNotNull { world.requests[it] }
+        val attempts = heldAttempts.mapNotNull { world.attempts[it] }
+        heldRequests.clear()
+        heldAttempts.clear()
+        for (request in requests) start(world, tick, request)
+        for (attempt in attempts) handle(world, tick, attempt)
     }
 
     private fun start(world: World, tick: Tick, request: Request) {
         val key = request.spec.order ?: return
-        if (key.home.domain == world.self.domain && !isElsewhere(world, key)) {
-            val attempt = world.newAttempt(tick, request, Place.Arrived(null))
-            handle(world, tick, attempt)
+        if (world.isHeld(tick.nowMs)) {
+            heldRequests += request.spec.id
+            tick.wakeAt(world.process.heldUntilMs)
             return
         }
-        val target = forwardTarget(world, key)
+        if (!world.mayBeHomed(key, request.spec)) {
+            refuse(world, tick, request, RefusalReason.RESIDENCY)
+            return
+        }
+        if (key.home.domain == world.self.domain && !isElsewhere(world, request, key)) {
+            handle(world, tick, world.newAttempt(tick, request, Place.Arrived(null)))
+            return
+        }
+        val target = forwardTarget(world, request, key)
         if (target == null) {
-            world.requests.remove(request.spec.id)
-            tick.refuse(request.spec.id, Refusal(RefusalReason.HOME_GONE, RunState.UNKNOWN))
+            refuse(world, tick, request, RefusalReason.HOME_GONE)
             return
         }
+        request.triedVms += target.id
         val attempt = world.newAttempt(tick, request, Place.Forwarded(target.id))
         tick.give(world.forward(tick, attempt, Route.Peer(target.id, null)))
     }
 
-    /** Whether the home is another process that is still there. */
-    private fun isElsewhere(world: World, key: OrderKey): Boolean {
+    private fun refuse(world: World, tick: Tick, request: Request, reason: RefusalReason) {
+        world.requests.remove(request.spec.id)
+        tick.refuse(request.spec.id, Refusal(reason, RunState.UNKNOWN))
+    }
+
+    /**
+     * Whether the home is another process that may still be there. A home that this process has not heard of yet, or
+     * has last heard of in an older incarnation, is asked.
+     */
+    private fun isElsewhere(world: World, request: Request, key: OrderKey): Boolean {
         val home = world.entryVms[key.home.vm] ?: return false
+        val known = home.incarnation
         return home.id != world.self.vm &&
-            home.incarnation == key.home.incarnation &&
-            home.liveness == Liveness.LIVE
+            home.id !in request.triedVms &&
+            (known == null || known <= key.home.incarnation) &&
+            (home.liveness == Liveness.LIVE || home.liveness == Liveness.UNKNOWN)
     }
 
-    private fun forwardTarget(world: World, key: OrderKey): EntryVm? {
-        world.entryVms[key.home.vm]?.let { return it }
-        return world.entryVms
-            .filter { it.record.domain == key.home.domain }
-            .rendezvousFirst(hashKey(key.toString())) { it.id.value }
+    /** The home, or another VM of its domain, which only looks the key up. */
+    private fun forwardTarget(world: World, request: Request, key: OrderKey): EntryVm? {
+        val candidates = world.entryVms.filter {
+            it.record.domain == key.home.domain && it.id !in request.triedVms
+        }
+        return candidates.firstOrNull { it.id == key.home.vm }
+            ?: candidates.rendezvousFirst(hashKey(key.toString())) { it.id.value }
     }
 
     private fun handle(world: World, tick: Tick, attempt: Attempt) {
         val key = attempt.spec.order ?: return
-        val isHome = key.home.vm == world.self.vm && key.home.incarnation == world.self.incarnation
+        if (world.isHeld(tick.nowMs)) {
+            heldAttempts += attempt.id
+            tick.wakeAt(world.process.heldUntilMs)
+            return
+        }
         val order = world.orders[key]
         when {
-            !isHome || isExpired(world, key) -> lookUp(world, tick, attempt)
+            !world.mayProcessHere(attempt.spec.subscriber) ->
+                world.endOrder(tick, attempt, Refusal(RefusalReason.RESIDENCY))
+            !world.isHomeOf(key) || world.isExpired(key) -> lookUp(world, tick, attempt)
+            order != null && !order.isCallBy(attempt.spec) -> {
+                val detail = "the key belongs to another subscriber or service"
+                val refusal = Refusal(RefusalReason.BAD_REQUEST, RunState.UNKNOWN, detail)
+                world.endOrder(tick, attempt, refusal)
+            }
             attempt.spec.orderCall == OrderCall.WITHDRAW -> withdraw(world, tick, attempt, order)
-            attempt.spec.orderCall == OrderCall.LOOK_UP -> lookUp(world, tick, attempt)
             order != null -> repeat(world, tick, attempt, order)
+            attempt.spec.orderCall == OrderCall.LOOK_UP -> lookUp(world, tick, attempt)
             else -> {
                 val row = Order(key, attempt.spec, tick.nowMs)
                 row.attempt = attempt.id
@@ -69,88 +140,189 @@
         }
     }
 
-    /** Keys of epochs before the previous one may have been forgotten, so they are never dispatched. */
-    private fun isExpired(world: World, key: OrderKey): Boolean {
-        val epoch = world.entryVms[world.self.vm]?.epoch ?: 0
-        return key.home.epoch < epoch - 1 || key.home.epoch > epoch
-    }
-
     private fun repeat(world: World, tick: Tick, attempt: Attempt, order: Order) {
         when (order.state) {
-            OrderState.LOOKING_UP, OrderState.QUEUED, OrderState.DISPATCHED -> {
-                val refusal =
-                    Refusal(RefusalReason.ORDER_IN_PROGRESS, RunState.UNKNOWN, retryAfterMs = 1_000)
-                world.endOrderAttempt(tick, attempt, refusal)
-            }
+            OrderState.LOOKING_UP, OrderState.QUEUED, OrderState.DISPATCHED ->
+                world.endOrder(tick, attempt, inProgress())
             OrderState.WITHDRAWN ->
-                world.endOrderAttempt(tick, attempt, Refusal(RefusalReason.WITHDRAWN))
+                world.endOrder(tick, attempt, Refusal(RefusalReason.WITHDRAWN))
             OrderState.DONE, OrderState.UNKNOWN -> lookUp(world, tick, attempt)
         }
     }
 
     private fun withdraw(world: World, tick: Tick, attempt: Attempt, order: Order?) {
         val key = attempt.spec.order ?: return
-        val state = order?.state
-        if (state == OrderState.DISPATCHED ||
-            state == OrderState.DONE ||
-            state == OrderState.UNKNOWN
-        ) {
-            lookUp(world, tick, attempt)
-            return
+        when (order?.state) {
+            OrderState.DISPATCHED -> {
+                world.endOrder(tick, attempt, inProgress())
+                return
+            }
+            OrderState.DONE, OrderState.UNKNOWN -> {
+                lookUp(world, tick, attempt)
+                return
+            }
+            else -> Unit
         }
         val running = order?.attempt?.let { world.attempts[it] }
-        val row = order ?: Order(key, attempt.spec, tick.nowMs).also { world.orders[key] = it }
-        row.state = OrderState.WITHDRAWN
-        running?.let { world.cancel(tick, it, RefusalReason.WITHDRAWN) }
+        if (order == null) world.entomb(tick, attempt.spec)
+        running?.let { world.endOrder(tick, it, Refusal(RefusalReason.WITHDRAWN)) }
         tick.journal.log(LogEvent.ORDER_WITHDRAWN, mapOf("key" to key))
-        world.endOrderAttempt(tick, attempt, Refusal(RefusalReason.WITHDRAWN))
+        world.endOrder(tick, attempt, Refusal(RefusalReason.WITHDRAWN))
     }
 
-    private fun lookUp(world: World, tick: Tick, attempt: Attempt) {
-        val server = serverOf(world, attempt)
+    private fun inProgress() =
+        Refusal(RefusalReason.ORDER_IN_PROGRESS, RunState.UNKNOWN, retryAfterMs = 1_000)
+
+    /** Asks the first server that may know the key, or the next one after [after]. */
+    private fun lookUp(
+        world: World,
+        tick: Tick,
+        attempt: Attempt,
+        after: BackendServerId? = null,
+    ) {
+        val servers = serversOf(world, attempt)
+        val server = servers.getOrNull(servers.indexOfFirst { it.id == after } + 1)
         if (server == null) {
-            val isUnsent = world.orderOf(attempt) != null
-            val runState = if (isUnsent) RunState.NOT_RUN else RunState.UNKNOWN
-            world.endOrderAttempt(tick, attempt, Refusal(RefusalReason.NO_BACKEND, runState))
+            world.endOrder(tick, attempt, Refusal(RefusalReason.NO_BACKEND))
             return
         }
         attempt.place = Place.Dispatched(server.id)
+        attempt.isLookUp = true
         attempt.dispatchedMs = tick.nowMs
-        server.inFlight += 1
-        server.inFlightCostTokens += attempt.spec.costTokens
         val call = BackendCall.LOOK_UP_ORDER
         tick.give(StartAttempt(attempt.id, attempt.spec, server.record, call, fromToken = 0))
     }
 
-    /** A key always maps to the same server, so that a lookup asks the one that would have run it. */
-    private fun serverOf(world: World, attempt: Attempt): BackendServer? {
-        val key = attempt.spec.order ?: return null
-        return world.backends
+    /**
+     * Servers to ask, in order. The home knows the server that it sent the order to. Otherwise a key maps to the same
+     * server everywhere; leaving servers come first, because they may have run the key before they began to leave.
+     */
+    private fun serversOf(world: World, attempt: Attempt): List<BackendServer> {
+        val key = attempt.spec.order ?: return emptyList()
+        val sentTo = world.orders[key]?.sentTo
+        if (sentTo != null) return listOfNotNull(world.backends[sentTo])
+        val ordered = world.backends
             .filter { attempt.spec.service in it.record.services }
-            .rendezvousFirst(hashKey(key.toString())) { it.id.value }
+            .rendezvousOrder(hashKey(key.toString())) { it.id.value }
+        val leaving = ordered.takeWhile { it.isLeaving }
+        return leaving + listOfNotNull(ordered.getOrNull(leaving.size))
     }
 
     private fun absent(world: World, tick: Tick, id: AttemptId) {
         val attempt = world.attempts[id] ?: return
         val place = attempt.place as? Place.Dispatched ?: return
-        world.backends[place.server]?.let { server ->
-            server.inFlight -= 1
-            server.inFlightCostTokens -= attempt.spec.costTokens
+        if (!attempt.isLookUp) return
+        attempt.isLookUp = false
+        val servers = serversOf(world, attempt)
+        val isLast = servers.none { it.id == place.server } || servers.last().id == place.server
+        when {
+            !isLast -> lookUp(world, tick, attempt, after = place.server)
+            world.orderOf(attempt)?.state == OrderState.LOOKING_UP ->
+                enqueue(world, tick, attempt, place.server)
+            else -> world.endOrder(tick, attempt, absence(world, attempt))
+        }
+    }
+
+    /** What may be said of an order that the plain service does not know: a call on its way may still arrive. */
+    private fun absence(world: World, attempt: Attempt): Refusal {
+        val key = attempt.spec.order
+        val reason = when {
+            key == null || !world.isHomeOf(key) -> RefusalReason.HOME_GONE
+            world.isExpired(key) -> RefusalReason.ORDER_EXPIRED
+            else -> RefusalReason.ORDER_NOT_FOUND
+        }
+        return Refusal(reason, RunState.UNKNOWN, "not known to the service so far")
+    }
+
+    private fun lookUpFailed(world: World, tick: Tick, event: OrderLookUpFailed) {
+        val attempt = world.attempts[event.attempt] ?: return
+        if (!attempt.isLookUp) return
+        world.endOrder(tick, attempt, event.refusal.copy(runState = RunState.NOT_RUN))
+    }
+
+    private fun enqueue(world: World, tick: Tick, attempt: Attempt, server: BackendServerId) {
+        val window = world.orderWindows.getOrPut(server) { OrderWindow(server) }
+        if (window.queue.size >= MAX_QUEUED_ORDERS) {
+            val refusal = Refusal(RefusalReason.QUEUE_FULL, retryAfterMs = 1_000)
+            world.endOrder(tick, attempt, refusal)
+            return
+        }
+        world.orderOf(attempt)?.state = OrderState.QUEUED
+        attempt.place = Place.Queued(server)
+        window.queue.addLast(attempt.id)
+        tick.wakeAt(attempt.deadlineMs)
+    }
+
+    private fun fill(world: World, tick: Tick, window: OrderWindow) {
+        if (window.queue.isEmpty()) return
+        if (world.isHeld(tick.nowMs)) {
+            tick.wakeAt(world.process.heldUntilMs)
+            return
+        }
+        val server = world.backends[window.server]
+        while (server == null || window.running.size < server.record.concurrency) {
+            val id = window.queue.removeFirstOrNull() ?: break
+            val attempt = world.attempts[id] ?: continue
+            val order = world.orderOf(attempt) ?: continue
+            if (order.state == OrderState.QUEUED) dispatch(world, tick, attempt, order, window)
+        }
+    }
+
+    private fun dispatch(
+        world: World,
+        tick: Tick,
+        attempt: Attempt,
+        order: Order,
+        window: OrderWindow,
+    ) {
+        val server = world.backends[window.server]
+        val reason = when {
+            tick.nowMs >= attempt.deadlineMs -> RefusalReason.DEADLINE_EXCEEDED
+            !world.mayProcessHere(attempt.spec.subscriber) -> RefusalReason.RESIDENCY
+            server == null || server.isLeaving -> RefusalReason.NO_BACKEND
+            else -> null
         }
-        val order = world.orderOf(attempt)
-        if (order == null || order.state != OrderState.LOOKING_UP) {
-            world.endOrderAttempt(tick, attempt, world.absence(attempt))
+        if (reason != null || server == null) {
+            world.endOrder(tick, attempt, Refusal(reason ?: RefusalReason.NO_BACKEND))
             return
         }
-        order.state = OrderState.QUEUED
-        world.enqueue(tick, attempt, place.server)
+        attempt.place = Place.Dispatched(server.id)
+        attempt.dispatchedMs = tick.nowMs
+        order.state = OrderState.DISPATCHED
+        order.sentTo = server.id
+        window.running += attempt.id
+        val call = BackendCall.RUN_ORDER
+        tick.give(StartAttempt(attempt.id, attempt.spec, server.record, call, fromToken = 0))
     }
 
-    private fun settle(world: World, tick: Tick, event: AttemptEnded) {
+    private fun ended(world: World, tick: Tick, event: AttemptEnded) {
         val attempt = world.attempts[event.attempt] ?: return
-        val order = world.orderOf(attempt) ?: return
+        if (attempt.spec.order == null) return
+        val place = attempt.place
+        if (place is Place.Dispatched) world.orderWindows[place.server]?.running?.remove(attempt.id)
+        if (place is Place.Forwarded) homeUnreachable(world, tick, attempt, event.outcome)
+        world.orderOf(attempt)?.let { settle(tick, it, event.outcome) }
+    }
+
+    /** No byte reached the home, so asking another VM of its domain is still the first forward. */
+    private fun homeUnreachable(
+        world: World,
+        tick: Tick,
+        attempt: Attempt,
+        outcome: AttemptOutcome,
+    ) {
+        val refusal = (outcome as? AttemptOutcome.NotSent)?.refusal ?: return
+        if (refusal.reason != RefusalReason.PEER_UNREACHABLE) return
+        val request = world.requests[attempt.spec.id] ?: return
+        if (request.isWithdrawing || tick.nowMs >= request.deadlineMs) return
+        request.attempts -= attempt.id
+        start(world, tick, request)
+    }
+
+    private fun settle(tick: Tick, order: Order, outcome: AttemptOutcome) {
         val wasDispatched = order.state == OrderState.DISPATCHED
-        order.state = when (event.outcome) {
+        order.attempt = null
+        order.state = when (outcome) {
             is AttemptOutcome.Completed -> OrderState.DONE
             is AttemptOutcome.NotSent -> OrderState.WITHDRAWN
             else -> if (wasDispatched) OrderState.UNKNOWN else OrderState.WITHDRAWN
@@ -160,25 +332,120 @@
             tick.journal.log(LogEvent.ORDER_UNKNOWN, mapOf("key" to order.key))
         }
     }
+
+    /** Calls of peers have no request here, so their deadlines are checked on the attempts. */
+    private fun expireForwarded(world: World, tick: Tick) {
+        if (tick.nowMs < nextScanMs) return
+        nextScanMs = tick.nowMs + ATTEMPT_SCAN_MS
+        world.orderWindows.removeIf { it.queue.isEmpty() && it.running.isEmpty() }
+        val expired = world.attempts.filter {
+            it.spec.order != null && it.origin is Origin.Peer && tick.nowMs >= it.deadlineMs
+        }
+        for (attempt in expired) world.cancelOrder(tick, attempt, RefusalReason.DEADLINE_EXCEEDED)
+    }
 }
 
-/** What may be said of an order that the plain service does not know. */
-private fun World.absence(attempt: Attempt): Refusal {
-    val key = attempt.spec.order
-    val isWithdrawn = key != null && orders[key]?.state == OrderState.WITHDRAWN
-    if (isWithdrawn) return Refusal(RefusalReason.WITHDRAWN)
-    return Refusal(RefusalReason.HOME_GONE, RunState.UNKNOWN, "not known to the service so far")
+/** Whether this process, in this incarnation, is the only one that may dispatch [key]. */
+fun World.isHomeOf(key: OrderKey): Boolean = key.home.domain == self.domain &&
+    key.home.vm == self.vm &&
+    key.home.incarnation == self.incarnation
+
+/** Keys of epochs before the previous one may have been forgotten, so they are never dispatched. */
+fun World.isExpired(key: OrderKey): Boolean {
+    val epoch = entryVms[self.vm]?.epoch ?: 0
+    return key.home.epoch < epoch - 1 || key.home.epoch > epoch
+}
+
+/** The order that [attempt] runs, when this process is its home and the attempt is not over. */
+fun World.orderOf(attempt: Attempt): Order? =
+    attempt.spec.order?.let { orders[it] }?.takeIf { it.attempt == attempt.id }
+
+/** Whether the subscriber of [spec] may have its data processed in the region of the key's home. */
+private fun World.mayBeHomed(key: OrderKey, spec: RequestSpec): Boolean {
+    val document = configuration.document ?: return false
+    val region = document.regionOf(key.home.domain) ?: return false
+    return region in document.processingRegions(spec.subscriber)
+}
+
+/** Makes a tombstone of a key that has no row, so that it is never dispatched. */
+private fun World.entomb(tick: Tick, spec: RequestSpec) {
+    val key = spec.order ?: return
+    orders[key] = Order(key, spec, tick.nowMs).also { it.state = OrderState.WITHDRAWN }
+}
+
+/** Reasons that may hold for a subscriber who is entitled to the key, so that its refusal may leave a tombstone. */
+private val ENTITLED_REASONS = setOf(
+    RefusalReason.DRAINING,
+    RefusalReason.CONFIGURATION_BEHIND,
+    RefusalReason.RESIDENCY,
+    RefusalReason.DEADLINE_EXCEEDED,
+    RefusalReason.WITHDRAWN,
+)
+
+/**
+ * [refusal] of the call [spec] with what is provable. Only the home can prove that a key has not run, and it keeps the
+ * key from running later. A refusal of a repeat says nothing about the first call.
+ */
+fun World.provable(tick: Tick, spec: RequestSpec, refusal: Refusal): Refusal {
+    val key = spec.order ?: return refusal
+    val unknown = refusal.copy(runState = RunState.UNKNOWN)
+    if (refusal.runState == RunState.UNKNOWN || !isHomeOf(key) || isExpired(key)) return unknown
+    val isNewRun = key !in orders && spec.orderCall == OrderCall.RUN
+    if (isNewRun && refusal.reason in ENTITLED_REASONS) entomb(tick, spec)
+    val row = orders[key] ?: return unknown
+    val isProven = row.state == OrderState.WITHDRAWN && row.isCallBy(spec)
+    return if (isProven) refusal else unknown
 }
 
-/** Ends an order call that was not sent to the plain service, and answers with [refusal]. */
-fun World.endOrderAttempt(tick: Tick, attempt: Attempt, refusal: Refusal) {
-    orderOf(attempt)?.state = OrderState.WITHDRAWN
+/** Ends an order call of which no order was sent, and answers with what is provable of [refusal]. */
+fun World.endOrder(tick: Tick, attempt: Attempt, refusal: Refusal) {
+    orderOf(attempt)?.let { order ->
+        check(order.isUnsent) { "order ${order.key} ended as unsent in state ${order.state}" }
+        order.state = OrderState.WITHDRAWN
+        order.attempt = null
+    }
+    val answer = provable(tick, attempt.spec, refusal)
     attempts.remove(attempt.id)
-    tick.journal.count(Counter.ORDERS, refusal.reason.code)
+    tick.journal.count(Counter.ORDERS, answer.reason.code)
     if (attempt.origin is Origin.Peer) {
-        refuseForward(tick, attempt, refusal)
+        refuseForward(tick, attempt, answer)
         return
     }
     requests.remove(attempt.spec.id) ?: return
-    tick.refuse(attempt.spec.id, refusal)
+    tick.refuse(attempt.spec.id, answer)
+}
+
+/** Stops an order call where nothing was sent yet. An order that was sent is left to end by itself. */
+fun World.cancelOrder(tick: Tick, attempt: Attempt, reason: RefusalReason) {
+    val place = attempt.place
+    when {
+        place is Place.Forwarded -> tick.give(WithdrawForward(attempt.id, place.vm))
+        place is Place.Dispatched && !attempt.isLookUp -> Unit
+        else -> endOrder(tick, attempt, Refusal(reason))
+    }
+}
+
+/**
+ * Handles the deadline of a caller's order call. A forwarded call is withdrawn at the home first; its answer is awaited
+ * for [WITHDRAW_WAIT_MS], because it may prove that the order has not run.
+ */
+fun World.expireOrder(tick: Tick, request: Request) {
+    val running = request.attempts.mapNotNull { attempts[it] }
+    val forwarded = running.firstOrNull { it.place is Place.Forwarded }
+    if (forwarded != null && !request.isWithdrawing) {
+        request.isWithdrawing = true
+        cancelOrder(tick, forwarded, RefusalReason.DEADLINE_EXCEEDED)
+    }
+    if (forwarded != null && tick.nowMs < request.deadlineMs + WITHDRAW_WAIT_MS) return
+    for (attempt in running) {
+        if (attempt == forwarded) {
+            tick.give(CancelAttempt(attempt.id))
+        } else {
+            cancelOrder(tick, attempt, RefusalReason.DEADLINE_EXCEEDED)
+        }
+    }
+    requests.remove(request.spec.id) ?: return
+    val refusal = Refusal(RefusalReason.DEADLINE_EXCEEDED)
+    val answer = if (running.isEmpty()) provable(tick, request.spec, refusal) else null
+    tick.refuse(request.spec.id, answer ?: refusal.copy(runState = RunState.UNKNOWN))
 }
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Refusal.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Refusal.kt
@@ -41,6 +41,7 @@
     HOME_REQUIRED("home-required"),
     HOME_GONE("home-gone"),
     ORDER_EXPIRED("order-expired"),
+    ORDER_NOT_FOUND("order-not-found"),
     ORDER_IN_PROGRESS("order-in-progress"),
     WITHDRAWN("withdrawn"),
     CALLER_GONE("caller-gone"),
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/RoutingSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/RoutingSystem.kt
@@ -9,7 +9,8 @@
     override fun run(world: World, tick: Tick) {
         tick.each<ForwardArrived> { event ->
             val attempt = world.attempts[event.attempt]
-            if (attempt != null && attempt.spec.order == null) place(world, tick, attempt)
+            val isNew = attempt?.place is Place.Arrived && attempt.spec.order == null
+            if (attempt != null && isNew) place(world, tick, attempt)
         }
         if (world.isHeld(tick.nowMs)) {
             tick.wakeAt(world.process.heldUntilMs)
--- /dev/null
+++ b/decisions/src/test/kotlin/org/pomeloladder/decisions/OrderSystemTest.kt
@@ -0,0 +1,284 @@
+package org.pomeloladder.decisions
+
+import org.junit.jupiter.api.Test
+import org.pomeloladder.configuration.BackendServerId
+import org.pomeloladder.configuration.RegionId
+import org.pomeloladder.configuration.VmId
+import org.pomeloladder.configuration.VmState
+import strikt.api.expectThat
+import strikt.assertions.filterIsInstance
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+import strikt.assertions.map
+import strikt.assertions.single
+
+class OrderSystemTest {
+    private val test = TestWorld().apply {
+        list(
+            listOf(entryVm("norte-1"), entryVm("norte-2")),
+            listOf(server("orders-1", ORDERS, concurrency = 1)),
+        )
+    }
+    private val key = OrderKey(test.world.ownHomeToken(), "ref")
+
+    private fun run(id: String, key: OrderKey = this.key, budgetMs: Long = 10_000) =
+        RequestArrived(request(id, order = key, budgetMs = budgetMs))
+
+    private fun ask(id: String, call: OrderCall) =
+        RequestArrived(request(id, order = key).copy(orderCall = call))
+
+    private fun forward(attempt: String, key: OrderKey = this.key) =
+        ForwardArrived(VmId("norte-2"), AttemptId(attempt), request("r", order = key), null, 0)
+
+    private fun started(commands: List<Command>) =
+        commands.filterIsInstance<StartAttempt>().single()
+
+    private fun refusal(commands: List<Command>) =
+        commands.filterIsInstance<RefuseRequest>().single().refusal
+
+    /** Dispatches [key] for caller call [id] and returns the attempt that runs it. */
+    private fun dispatched(id: String = "r1", key: OrderKey = this.key): AttemptId {
+        val lookUp = started(test.tick(run(id, key)))
+        val running = started(test.tick(OrderAbsent(lookUp.attempt)))
+        check(running.call == BackendCall.RUN_ORDER)
+        return running.attempt
+    }
+
+    private fun lost(attempt: AttemptId) = AttemptEnded(
+        attempt,
+        AttemptOutcome.Failed(Refusal(RefusalReason.CONNECTION_LOST, RunState.UNKNOWN)),
+    )
+
+    @Test
+    fun `a repeat during and after dispatch is never dispatched, so no order runs twice`() {
+        val attempt = dispatched()
+        expectThat(refusal(test.tick(run("r2")))).get { runState }.isEqualTo(RunState.UNKNOWN)
+        test.tick(lost(attempt))
+
+        val repeat = started(test.tick(run("r3")))
+        expectThat(repeat.call).isEqualTo(BackendCall.LOOK_UP_ORDER)
+        val commands = test.tick(OrderAbsent(repeat.attempt))
+
+        expectThat(commands).filterIsInstance<StartAttempt>().isEmpty()
+        expectThat(refusal(commands)).get { runState }.isEqualTo(RunState.UNKNOWN)
+    }
+
+    @Test
+    fun `a lookup that fails after dispatch is not taken for proof that the order did not run`() {
+        test.tick(lost(dispatched()))
+        val lookUp = started(test.tick(ask("r2", OrderCall.LOOK_UP)))
+        val failure = Refusal(RefusalReason.BACKEND_UNREACHABLE)
+
+        val commands = test.tick(OrderLookUpFailed(lookUp.attempt, failure))
+
+        expectThat(refusal(commands)).get { runState }.isEqualTo(RunState.UNKNOWN)
+    }
+
+    @Test
+    fun `a withdrawal that overtakes its order keeps it from running later`() {
+        val withdrawal = refusal(test.tick(ask("r1", OrderCall.WITHDRAW)))
+        expectThat(withdrawal).get { runState }.isEqualTo(RunState.NOT_RUN)
+
+        val commands = test.tick(run("r2"))
+
+        expectThat(commands).filterIsInstance<StartAttempt>().isEmpty()
+        expectThat(refusal(commands)).get { runState }.isEqualTo(RunState.NOT_RUN)
+    }
+
+    @Test
+    fun `an order withdrawn during its lookup is not dispatched by the late answer`() {
+        val lookUp = started(test.tick(run("r1")))
+        val commands = test.tick(ask("r2", OrderCall.WITHDRAW))
+        expectThat(commands.filterIsInstance<RefuseRequest>())
+            .map { it.refusal.runState }
+            .isEqualTo(listOf(RunState.NOT_RUN, RunState.NOT_RUN))
+
+        expectThat(test.tick(OrderAbsent(lookUp.attempt))).filterIsInstance<StartAttempt>()
+            .isEmpty()
+    }
+
+    @Test
+    fun `a dispatched order is not reported as withdrawn`() {
+        val attempt = dispatched()
+        test.tick(OrderAbsent(attempt))
+        expectThat(refusal(test.tick(ask("r2", OrderCall.WITHDRAW))))
+            .get { runState }.isEqualTo(RunState.UNKNOWN)
+    }
+
+    @Test
+    fun `the deadline during the lookup ends the order before it can be dispatched`() {
+        val lookUp = started(test.tick(run("r1", budgetMs = 500)))
+        val commands = test.advance(700)
+        expectThat(refusal(commands)).get { runState }.isEqualTo(RunState.NOT_RUN)
+
+        expectThat(test.tick(OrderAbsent(lookUp.attempt))).filterIsInstance<StartAttempt>()
+            .isEmpty()
+    }
+
+    @Test
+    fun `the deadline of a queued order proves not run, that of a dispatched one does not`() {
+        dispatched("r1", OrderKey(key.home, "first"))
+        val lookUp = started(test.tick(run("r2", budgetMs = 500)))
+        expectThat(test.tick(OrderAbsent(lookUp.attempt))).filterIsInstance<StartAttempt>()
+            .isEmpty()
+
+        val answers = test.advance(10_200).filterIsInstance<RefuseRequest>()
+            .associate { it.request.value to it.refusal.runState }
+
+        expectThat(answers)
+            .isEqualTo(mapOf("r2" to RunState.NOT_RUN, "r1" to RunState.UNKNOWN))
+    }
+
+    @Test
+    fun `a forward that arrives twice does not disturb the order under way`() {
+        val lookUp = started(test.tick(forward("a1")))
+        test.tick(OrderAbsent(lookUp.attempt))
+        expectThat(test.tick(forward("a1"))).filterIsInstance<Command>()
+            .filterIsInstance<RefuseForward>().isEmpty()
+        expectThat(test.world.orders[key]?.state).isEqualTo(OrderState.DISPATCHED)
+        test.tick(lost(lookUp.attempt))
+
+        val late = started(test.tick(forward("a1")))
+        test.tick(lost(late.attempt))
+
+        expectThat(late.call).isEqualTo(BackendCall.LOOK_UP_ORDER)
+        expectThat(test.world.orders[key]?.state).isEqualTo(OrderState.UNKNOWN)
+    }
+
+    @Test
+    fun `a key of an earlier incarnation is only looked up, because its table is lost`() {
+        val old = OrderKey(key.home.copy(incarnation = Incarnation(0)), "ref")
+        val lookUp = started(test.tick(run("r1", old)))
+
+        val commands = test.tick(OrderAbsent(lookUp.attempt))
+
+        expectThat(commands).filterIsInstance<StartAttempt>().isEmpty()
+        expectThat(refusal(commands)).get { runState }.isEqualTo(RunState.UNKNOWN)
+    }
+
+    @Test
+    fun `a forgotten key of an old epoch is not dispatched again`() {
+        test.tick(lost(dispatched()))
+        test.advance(2 * EPOCH_MS)
+        expectThat(test.world.orders[key]).isNull()
+
+        val lookUp = started(test.tick(run("r2")))
+
+        expectThat(test.tick(OrderAbsent(lookUp.attempt))).filterIsInstance<StartAttempt>()
+            .isEmpty()
+    }
+
+    @Test
+    fun `an unreachable home is no proof, because an earlier call may have run the key`() {
+        val home = HomeToken(NORTE, VmId("norte-2"), Incarnation(1), 0)
+        test.tick(test.heartbeat("norte-2"))
+        val sent = test.tick(run("r1", OrderKey(home, "ref")))
+            .filterIsInstance<StartForward>().single()
+        val refused = AttemptOutcome.NotSent(Refusal(RefusalReason.PEER_UNREACHABLE))
+
+        val lookUp = started(test.tick(AttemptEnded(sent.attempt, refused)))
+        val commands = test.tick(OrderAbsent(lookUp.attempt))
+
+        expectThat(refusal(commands)).get { runState }.isEqualTo(RunState.UNKNOWN)
+    }
+
+    @Test
+    fun `an ingress whose deadline ends reports the home's proof instead of unknown`() {
+        val home = HomeToken(NORTE, VmId("norte-2"), Incarnation(1), 0)
+        test.tick(test.heartbeat("norte-2"))
+        val sent = test.tick(run("r1", OrderKey(home, "ref"), budgetMs = 300))
+            .filterIsInstance<StartForward>().single()
+        val late = test.advance(400)
+        expectThat(late).filterIsInstance<WithdrawForward>().single()
+            .get { attempt }.isEqualTo(sent.attempt)
+        expectThat(late).filterIsInstance<RefuseRequest>().isEmpty()
+
+        val proof = AttemptOutcome.NotSent(Refusal(RefusalReason.WITHDRAWN))
+
+        expectThat(refusal(test.tick(AttemptEnded(sent.attempt, proof))))
+            .get { runState }.isEqualTo(RunState.NOT_RUN)
+    }
+
+    @Test
+    fun `an ingress without the home's answer says unknown after a bounded wait`() {
+        val home = HomeToken(NORTE, VmId("norte-2"), Incarnation(1), 0)
+        test.tick(test.heartbeat("norte-2"))
+        test.tick(run("r1", OrderKey(home, "ref"), budgetMs = 300))
+
+        expectThat(refusal(test.advance(300 + WITHDRAW_WAIT_MS + 200)))
+            .get { runState }.isEqualTo(RunState.UNKNOWN)
+    }
+
+    @Test
+    fun `a draining home refuses a new key for good and claims nothing of a sent one`() {
+        val attempt = dispatched()
+        test.tick(lost(attempt), DrainAsked)
+        val new = OrderKey(key.home, "new")
+
+        expectThat(refusal(test.tick(run("r2", new)))).get { runState }.isEqualTo(RunState.NOT_RUN)
+        expectThat(test.world.orders[new]?.state).isEqualTo(OrderState.WITHDRAWN)
+        expectThat(refusal(test.tick(run("r3")))).get { runState }.isEqualTo(RunState.UNKNOWN)
+    }
+
+    @Test
+    fun `orders do not change the counts that the server's owner reports`() {
+        val server = checkNotNull(test.world.backends[BackendServerId("orders-1")])
+        val attempt = dispatched()
+        expectThat(server.load).isEqualTo(0)
+        test.tick(lost(attempt))
+        expectThat(server.load).isEqualTo(0)
+    }
+
+    @Test
+    fun `a leaving server is asked before another one runs the key, and gets no order itself`() {
+        val servers = listOf(server("orders-1", ORDERS), server("orders-2", ORDERS))
+        val leaving = servers.map { it.copy(state = VmState.LEAVING) }
+        for (records in listOf(listOf(leaving[0], servers[1]), listOf(servers[0], leaving[1]))) {
+            test.list(
+                listOf(entryVm("norte-1")),
+                records,
+                test.world.process.serverListRevision + 1,
+            )
+            var start =
+                started(test.tick(run("r-$records", OrderKey(key.home, "r${records.hashCode()}"))))
+            if (start.server.state == VmState.LEAVING) {
+                start = started(test.tick(OrderAbsent(start.attempt)))
+            }
+            val running = started(test.tick(OrderAbsent(start.attempt)))
+            expectThat(running.call).isEqualTo(BackendCall.RUN_ORDER)
+            expectThat(running.server.state).isEqualTo(VmState.LIVE)
+        }
+    }
+
+    @Test
+    fun `a repeat of a key for another service does not get the order's answer`() {
+        test.tick(lost(dispatched()))
+        val foreign = request("r2", order = key).copy(service = CHAT)
+
+        val commands = test.tick(RequestArrived(foreign))
+
+        expectThat(commands).filterIsInstance<StartAttempt>().isEmpty()
+        expectThat(refusal(commands)).get { runState }.isEqualTo(RunState.UNKNOWN)
+    }
+
+    @Test
+    fun `an order is not sent to a home outside the subscriber's regions`() {
+        val bound = TestWorld(configuration = testConfiguration(setOf(RegionId("norte"))))
+        bound.list(listOf(entryVm("norte-1"), entryVm("centro-1", CENTRO)), emptyList())
+        val home = HomeToken(CENTRO, VmId("centro-1"), Incarnation(1), 0)
+
+        val commands = bound.tick(run("r1", OrderKey(home, "ref")))
+
+        expectThat(commands).filterIsInstance<StartForward>().isEmpty()
+        expectThat(refusal(commands)).get { reason }.isEqualTo(RefusalReason.RESIDENCY)
+    }
+
+    @Test
+    fun `a home that wakes from a pause dispatches only after the hold`() {
+        test.nowMs += 10_000
+        expectThat(test.tick(run("r1"))).filterIsInstance<StartAttempt>().isEmpty()
+        expectThat(started(test.advance(PAUSE_HOLD_MS))).get { call }
+            .isEqualTo(BackendCall.LOOK_UP_ORDER)
+    }
+}
