Prove on raw sockets that an order is sent at most once

Cause: HTTP clients repeat requests silently in some of the cases where a connection closes.

Change: a test of RealBackendClient counts the requests that a raw server socket receives when it closes without an answer, closes a kept-alive connection, redirects, breaks its answer off, does not answer, or refuses the connection.

Conclusion: one request in each case, and only the refused connection gives NotSent.

--- /dev/null
+++ b/daemon/src/test/kotlin/org/pomeloladder/daemon/RealBackendClientTest.kt
@@ -0,0 +1,200 @@
+package org.pomeloladder.daemon
+
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.pomeloladder.configuration.Address
+import org.pomeloladder.configuration.BackendServerId
+import org.pomeloladder.configuration.BackendServerRecord
+import org.pomeloladder.configuration.ConfigSequence
+import org.pomeloladder.configuration.FailureDomainId
+import org.pomeloladder.configuration.ServiceId
+import org.pomeloladder.configuration.SubscriberId
+import org.pomeloladder.configuration.VmId
+import org.pomeloladder.decisions.AttemptId
+import org.pomeloladder.decisions.AttemptOutcome
+import org.pomeloladder.decisions.BackendCall
+import org.pomeloladder.decisions.HomeToken
+import org.pomeloladder.decisions.Incarnation
+import org.pomeloladder.decisions.OrderKey
+import org.pomeloladder.decisions.PrefixKey
+import org.pomeloladder.decisions.Refusal
+import org.pomeloladder.decisions.RequestId
+import org.pomeloladder.decisions.RequestSpec
+import org.pomeloladder.decisions.RunState
+import org.pomeloladder.peer.AnswerPart
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+
+private const val IDLE_TIMEOUT_MS = 2_000L
+private const val OK = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n"
+
+class RealBackendClientTest {
+    private val client = RealBackendClient(IDLE_TIMEOUT_MS)
+    private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    private val requests = AtomicInteger()
+
+    @AfterEach
+    fun close() {
+        client.close()
+        server.close()
+    }
+
+    @Test
+    fun `an order whose connection closes without an answer is sent once and is unknown`() {
+        serve { it.readRequest() }
+
+        expectThat(run()).isUnknown()
+
+        expectThat(requests.get()).isEqualTo(1)
+    }
+
+    @Test
+    fun `an order is not lost or repeated on a kept-alive connection that the server closes`() {
+        serve { socket ->
+            socket.readRequest()
+            // Promises to keep the connection and closes it at once, as a server with a short idle limit does.
+            socket.write("$OK\r\n{}")
+        }
+
+        repeat(REPEATS) {
+            expectThat(run()).isA<BackendResult.Ended>().get { outcome }
+                .isA<AttemptOutcome.Completed>()
+        }
+
+        expectThat(requests.get()).isEqualTo(REPEATS)
+    }
+
+    @Test
+    fun `a redirect is neither followed nor passed on, so the order cannot run elsewhere`() {
+        serve { socket ->
+            socket.readRequest()
+            val location = "http://127.0.0.1:${server.localPort}/orders"
+            socket.write(
+                "HTTP/1.1 307 Temporary Redirect\r\nLocation: $location\r\n" +
+                    "Content-Length: 0\r\nConnection: close\r\n\r\n",
+            )
+        }
+
+        expectThat(run()).isUnknown()
+
+        expectThat(requests.get()).isEqualTo(1)
+    }
+
+    @Test
+    fun `an order whose answer breaks off is sent once and is unknown`() {
+        serve { socket ->
+            socket.readRequest()
+            socket.write("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{")
+        }
+
+        expectThat(run()).isUnknown()
+
+        expectThat(requests.get()).isEqualTo(1)
+    }
+
+    @Test
+    fun `an order that is never answered is sent once and is unknown`() {
+        serve { socket ->
+            socket.readRequest()
+            socket.soTimeout = 0
+            socket.getInputStream().read()
+        }
+
+        expectThat(run()).isUnknown()
+
+        expectThat(requests.get()).isEqualTo(1)
+    }
+
+    @Test
+    fun `a refused connection is the proof that an order was not sent`() {
+        server.close()
+
+        expectThat(run()).isA<BackendResult.Ended>().get { outcome }
+            .isA<AttemptOutcome.NotSent>()
+            .get { refusal.runState }.isEqualTo(RunState.NOT_RUN)
+    }
+
+    @Test
+    fun `a lookup that fails is not taken for the answer that the order is absent`() {
+        server.close()
+
+        expectThat(run(BackendCall.LOOK_UP_ORDER)).isA<BackendResult.LookUpFailed>()
+    }
+
+    private fun strikt.api.Assertion.Builder<BackendResult>.isUnknown() =
+        isA<BackendResult.Ended>().get { outcome }.isA<AttemptOutcome.Failed>()
+            .get { refusal.runState }.isEqualTo(RunState.UNKNOWN)
+
+    private fun serve(answer: (Socket) -> Unit) {
+        thread(isDaemon = true) {
+            while (!server.isClosed) {
+                val socket = runCatching { server.accept() }.getOrNull() ?: break
+                thread(isDaemon = true) { socket.use { runCatching { answer(it) } } }
+            }
+        }
+    }
+
+    /** Reads one request with its body and counts it. */
+    private fun Socket.readRequest() {
+        val reader = getInputStream().bufferedReader()
+        var length = 0
+        while (true) {
+            val line = reader.readLine() ?: return
+            if (line.isEmpty()) break
+            if (line.startsWith("Content-Length:", ignoreCase = true)) {
+                length = line.substringAfter(':').trim().toInt()
+            }
+        }
+        repeat(length) { reader.read() }
+        requests.incrementAndGet()
+    }
+
+    private fun Socket.write(text: String) {
+        getOutputStream().write(text.toByteArray())
+        getOutputStream().flush()
+    }
+
+    private fun run(call: BackendCall = BackendCall.RUN_ORDER): BackendResult {
+        val domain = FailureDomainId("norte-a")
+        val home = HomeToken(domain, VmId("norte-1"), Incarnation(1), 0)
+        val service = ServiceId("orders")
+        val spec = RequestSpec(
+            id = RequestId("r1"),
+            subscriber = SubscriberId("cafe-1"),
+            service = service,
+            promptTokens = 1,
+            maxOutputTokens = 0,
+            prefix = PrefixKey(0),
+            budgetMs = 1_000,
+            sequence = ConfigSequence(1),
+            order = OrderKey(home, "ref"),
+        )
+        val address = Address("127.0.0.1", server.localPort)
+        val record =
+            BackendServerRecord(BackendServerId("orders-1"), domain, address, setOf(service))
+        return client.call(
+            BackendAttempt(AttemptId("a1"), spec, record, call, fromToken = 0, sink = NoSink),
+        )
+    }
+
+    private object NoSink : AnswerSink {
+        override val payload = "{}".toByteArray()
+        override val deliveredText = ""
+
+        override fun part(attempt: AttemptId, part: AnswerPart) = true
+
+        override fun ended(attempt: AttemptId, outcome: AttemptOutcome) = Unit
+
+        override fun refused(attempt: AttemptId, refusal: Refusal) = Unit
+    }
+
+    private companion object {
+        const val REPEATS = 20
+    }
+}
