Queue by cost and usage, reserve slots for short work

Cause: the first-come queue lets one subscriber's burst delay every other subscriber, and long work hold all slots of a backend server.

Change: FairQueue applies start-time fair queueing over groups by weight and over subscribers within a group, with separate lanes for short and long work. UsageSystem keeps decayed usage, corrected by generated tokens, and adds what peers report; usage above the mean moves a subscriber back on entry to a queue. A quarter of each window is left to short work, and one long prompt at a time is processed per server. A queue refuses early when the expected wait exceeds the remaining time, and a full queue gives way to a subscriber with fewer waiting attempts. FifoQueue stays as the baseline.

--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/DispatchSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/DispatchSystem.kt
@@ -12,11 +12,14 @@
 /** Most attempts that wait for one server. */
 const val MAX_QUEUED_PER_SERVER = 256
 
+/** Bounds of Retry-After: long enough to matter, short enough that a caller notices recovery. */
+private val RETRY_AFTER_MS = 100L..30_000L
+
 /** Weight of the newest observation in moving averages. */
 private const val AVERAGE_WEIGHT = 0.2
 
 /** Fills windows from queues. */
-class DispatchSystem(private val queuePolicy: QueuePolicy = QueuePolicy(::FifoQueue)) : TickSystem {
+class DispatchSystem(private val queuePolicy: QueuePolicy = QueuePolicy(::FairQueue)) : TickSystem {
     override fun run(world: World, tick: Tick) {
         for (server in world.backends) {
             if (server.id !in world.queues) world.queues[server.id] = queuePolicy.newQueue()
@@ -32,6 +35,7 @@
         val place = attempt.place as? Place.Dispatched ?: return
         val server = world.backends[place.server] ?: return
         attempt.firstTokenMs = tick.nowMs
+        server.endPrompt(attempt)
         server.firstTokenMs =
             average(server.firstTokenMs, (tick.nowMs - attempt.dispatchedMs).toDouble())
     }
@@ -42,6 +46,9 @@
         val server = world.backends[place.server] ?: return
         server.inFlight -= 1
         server.inFlightCostTokens -= attempt.spec.costTokens
+        if (attempt.isLongInFlight) server.inFlightLong -= 1
+        server.endPrompt(attempt)
+        server.observeService(tick, attempt, event.outcome)
         val outcome = event.outcome
         if (outcome is AttemptOutcome.Completed) grow(server)
         if (outcome is AttemptOutcome.NotSent &&
@@ -78,8 +85,7 @@
             return
         }
         while (true) {
-            val free = server.windowSize - server.inFlight
-            val attempt = queue.poll(world, free, server.windowSize) ?: break
+            val attempt = queue.poll(world, server) ?: break
             server.queued -= 1
             server.queuedCostTokens -= attempt.spec.costTokens
             dispatch(world, tick, attempt, server)
@@ -95,12 +101,63 @@
         attempt.dispatchedMs = tick.nowMs
         server.inFlight += 1
         server.inFlightCostTokens += attempt.spec.costTokens
+        server.beginPrompt(attempt)
+        world.charge(attempt.spec.subscriber, attempt.spec.costTokens, tick.nowMs)
         val call = if (attempt.spec.order == null) BackendCall.SERVE else BackendCall.RUN_ORDER
         world.orderOf(attempt)?.state = OrderState.DISPATCHED
         tick.give(StartAttempt(attempt.id, attempt.spec, server.record, call, attempt.fromToken))
     }
 }
 
+private fun BackendServer.beginPrompt(attempt: Attempt) {
+    val spec = attempt.spec
+    pendingPromptTokens += spec.promptTokens
+    attempt.promptAheadTokens = pendingPromptTokens
+    attempt.isPromptPending = true
+    attempt.isLongInFlight = !spec.isShort
+    if (attempt.isLongInFlight) inFlightLong += 1
+    if (spec.hasLongPrompt) longPromptsPending += 1
+}
+
+private fun BackendServer.endPrompt(attempt: Attempt) {
+    if (!attempt.isPromptPending) return
+    attempt.isPromptPending = false
+    pendingPromptTokens -= attempt.spec.promptTokens
+    if (attempt.spec.hasLongPrompt) longPromptsPending -= 1
+}
+
+/**
+ * Time and cost are averaged apart and divided, because the ratio of a single attempt differs tenfold and more between a
+ * long prompt and a short question.
+ */
+private fun BackendServer.observeService(tick: Tick, attempt: Attempt, outcome: AttemptOutcome) {
+    if (outcome !is AttemptOutcome.Completed) return
+    serviceMs = average(serviceMs, (tick.nowMs - attempt.dispatchedMs).toDouble())
+    serviceCostTokens = average(serviceCostTokens, attempt.spec.costTokens.toDouble())
+    serviceMsPerCostToken = serviceMs / maxOf(1.0, serviceCostTokens)
+    if (attempt.firstTokenMs == 0L || outcome.outputTokens <= 1) return
+    val streamMs = (tick.nowMs - attempt.firstTokenMs).toDouble()
+    betweenTokensMs = average(betweenTokensMs, streamMs / (outcome.outputTokens - 1))
+}
+
+/** Expected time until a new attempt with [spec] is dispatched here; zero while the server was not observed. */
+fun World.expectedWaitMs(server: BackendServer, spec: RequestSpec): Double {
+    val queue = queues[server.id] ?: return 0.0
+    if (queue.size == 0 && server.freeSlots > 0) return 0.0
+    // Work in flight is half done on average.
+    val aheadTokens = queue.costAhead(spec) + server.inFlightCostTokens / 2
+    return aheadTokens * server.serviceMsPerCostToken / server.windowSize
+}
+
+/** Why [attempt] should not wait for [server], or null when it may. */
+private fun World.refusalToQueue(tick: Tick, attempt: Attempt, server: BackendServer): Refusal? {
+    val waitMs = expectedWaitMs(server, attempt.spec)
+    val remainingMs = attempt.deadlineMs - tick.nowMs
+    if (waitMs <= remainingMs) return null
+    val retryAfterMs = (waitMs - remainingMs).toLong().coerceIn(RETRY_AFTER_MS)
+    return Refusal(RefusalReason.DEADLINE_UNREACHABLE, retryAfterMs = retryAfterMs)
+}
+
 internal fun average(old: Double, observed: Double): Double =
     if (old == 0.0) observed else old + AVERAGE_WEIGHT * (observed - old)
 
@@ -109,10 +166,24 @@
     val row = backends[server]
     val queue = queues[server]
     attempt.place = Place.Queued(server)
-    if (row == null || queue == null || queue.size >= MAX_QUEUED_PER_SERVER) {
-        endUnsent(tick, attempt, Refusal(RefusalReason.QUEUE_FULL, retryAfterMs = 1_000))
+    if (row == null || queue == null) {
+        endUnsent(tick, attempt, Refusal(RefusalReason.NOT_OWNER, retryAfterMs = 0))
+        return
+    }
+    refusalToQueue(tick, attempt, row)?.let { refusal ->
+        endUnsent(tick, attempt, refusal)
         return
     }
+    if (queue.size >= MAX_QUEUED_PER_SERVER) {
+        val displaced = queue.displacedBy(attempt)
+        val waitMs = expectedWaitMs(row, attempt.spec).toLong().coerceIn(RETRY_AFTER_MS)
+        val refusal = Refusal(RefusalReason.QUEUE_FULL, retryAfterMs = waitMs)
+        if (displaced == null) {
+            endUnsent(tick, attempt, refusal)
+            return
+        }
+        endQueued(tick, displaced, refusal)
+    }
     row.queued += 1
     row.queuedCostTokens += attempt.spec.costTokens
     queue.offer(this, attempt)
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Entities.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Entities.kt
@@ -54,9 +54,16 @@
     var queuedCostTokens = 0L
     var inFlightCostTokens = 0L
 
+    /** Exact at the owner: long work in flight, and prompts without a first token so far. */
+    var inFlightLong = 0
+    var longPromptsPending = 0
+    var pendingPromptTokens = 0L
+
     /** Moving averages of own observations; zero until the first one. */
     var firstTokenMs = 0.0
     var betweenTokensMs = 0.0
+    var serviceMs = 0.0
+    var serviceCostTokens = 0.0
     var serviceMsPerCostToken = 0.0
 
     /** As last reported by the server itself; late. */
@@ -73,6 +80,9 @@
     val load: Int
         get() = inFlight + queued
 
+    val freeSlots: Int
+        get() = windowSize - inFlight
+
     /** Whether new work may be sent at [nowMs]. */
     fun isAvailable(nowMs: Long) =
         !isLeaving && nowMs >= ejectedUntilMs && nowMs >= unreachableUntilMs
@@ -98,6 +108,9 @@
 class SubscriberUsage(val id: SubscriberId) {
     var ownCostTokens = 0.0
     var peerCostTokens = 0.0
+
+    /** The parts of [peerCostTokens] by the VM that reported them. */
+    val reported = HashMap<VmId, Double>()
     var decayedAtMs = 0L
 }
 
@@ -153,5 +166,10 @@
     var isHedge = false
     var dispatchedMs = 0L
     var firstTokenMs = 0L
+
+    /** Prompt tokens that the server had to process until this attempt's first token, its own included. */
+    var promptAheadTokens = 0L
+    var isPromptPending = false
+    var isLongInFlight = false
     var deliveredTokens = 0
 }
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Systems.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Systems.kt
@@ -6,7 +6,7 @@
 /** Policies of one process. Defaults are those of production. */
 class Policies {
     var route: RoutePolicy = RealRoutePolicy()
-    var queue: QueuePolicy = QueuePolicy(::FifoQueue)
+    var queue: QueuePolicy = QueuePolicy(::FairQueue)
     var owner: OwnerPolicy = RealOwnerPolicy()
 }
 
@@ -23,6 +23,7 @@
     OrderSystem(),
     RoutingSystem(policies.route),
     DispatchSystem(policies.queue),
+    UsageSystem(),
     CompletionSystem(),
     DrainSystem(),
 )
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/World.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/World.kt
@@ -80,4 +80,7 @@
     var entryListRevision = 0L
     var serverListRevision = 0L
     var nextAttempt = 0L
+
+    /** Mean of the usage of all subscribers with usage, as of the last scan. */
+    var meanUsageTokens = 0.0
 }
--- /dev/null
+++ b/decisions/src/test/kotlin/org/pomeloladder/decisions/DispatchSystemTest.kt
@@ -0,0 +1,61 @@
+package org.pomeloladder.decisions
+
+import org.junit.jupiter.api.Test
+import org.pomeloladder.configuration.BackendServerId
+import org.pomeloladder.configuration.SubscriberId
+import strikt.api.expectThat
+import strikt.assertions.filterIsInstance
+import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isNotNull
+import strikt.assertions.single
+
+class DispatchSystemTest {
+    private val test = TestWorld().apply {
+        list(listOf(entryVm("norte-1")), listOf(server("engine-1", concurrency = 1)))
+    }
+    private val engine = checkNotNull(test.world.backends[BackendServerId("engine-1")])
+
+    @Test
+    fun `a request that cannot be served in time does not wait for its deadline in the queue`() {
+        engine.serviceMsPerCostToken = 100.0
+        test.tick(RequestArrived(request("r1")))
+
+        val commands = test.tick(RequestArrived(request("r2", budgetMs = 900)))
+
+        expectThat(commands).filterIsInstance<RefuseRequest>().single().get { refusal }.and {
+            get { reason }.isEqualTo(RefusalReason.DEADLINE_UNREACHABLE)
+            get { runState }.isEqualTo(RunState.NOT_RUN)
+            get { retryAfterMs }.isNotNull().isGreaterThan(0)
+        }
+    }
+
+    @Test
+    fun `a queue filled by one subscriber does not refuse another`() {
+        test.tick(RequestArrived(request("running")))
+        val crowd = Array(MAX_QUEUED_PER_SERVER) { RequestArrived(request("r$it")) }
+        test.tick(*crowd)
+        val own = test.tick(RequestArrived(request("own")))
+        expectThat(own).filterIsInstance<RefuseRequest>().single()
+            .get { request.value }.isEqualTo("own")
+        test.tick(RequestArrived(request("other", SubscriberId("cafe-2"))))
+
+        expectThat(test.journal.counts[Counter.REFUSALS to "queue-full"]).isEqualTo(2)
+        expectThat(test.world.attempts.filter { it.spec.id.value == "other" }).hasSize(1)
+    }
+
+    @Test
+    fun `counts of long prompts return to zero, so long work is not locked out after a failure`() {
+        val long = request("r1", promptTokens = 10_000)
+        val start = test.tick(RequestArrived(long)).filterIsInstance<StartAttempt>().single()
+        expectThat(engine.longPromptsPending).isEqualTo(1)
+
+        val refusal = Refusal(RefusalReason.BACKEND_FAILED, RunState.UNKNOWN)
+        test.tick(AttemptEnded(start.attempt, AttemptOutcome.Failed(refusal)))
+
+        expectThat(engine.longPromptsPending).isEqualTo(0)
+        expectThat(engine.inFlightLong).isEqualTo(0)
+        expectThat(engine.pendingPromptTokens).isEqualTo(0)
+    }
+}
--- /dev/null
+++ b/decisions/src/test/kotlin/org/pomeloladder/decisions/FairQueueTest.kt
@@ -0,0 +1,105 @@
+package org.pomeloladder.decisions
+
+import org.junit.jupiter.api.Test
+import org.pomeloladder.configuration.SubscriberId
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+class FairQueueTest {
+    private val heavy = SubscriberId("heavy")
+    private val light = SubscriberId("light")
+    private val test = TestWorld()
+    private val queue = FairQueue()
+    private val idle = BackendServer(server("engine-1")).also { it.windowSize = 8 }
+
+    private fun offer(id: String, subscriber: SubscriberId, promptTokens: Int = 100): Attempt {
+        val spec = request(id, subscriber, promptTokens)
+        val attempt = Attempt(
+            id = AttemptId(id),
+            spec = spec,
+            origin = Origin.Local,
+            place = Place.Queued(idle.id),
+            createdMs = 0,
+            deadlineMs = 10_000,
+        )
+        queue.offer(test.world, attempt)
+        return attempt
+    }
+
+    private fun order() = generateSequence { queue.poll(test.world, idle)?.id?.value }.toList()
+
+    @Test
+    fun `a burst of one subscriber does not hold up the first request of another`() {
+        for (number in 1..3) offer("h$number", heavy)
+        offer("l1", light)
+
+        expectThat(order()).containsExactly("h1", "l1", "h2", "h3")
+    }
+
+    @Test
+    fun `a heavy subscriber gains nothing by moving here from a peer that reports its usage`() {
+        test.list(listOf(entryVm("norte-1"), entryVm("norte-2")), emptyList())
+        test.tick(
+            test.heartbeat("norte-2") {
+                copy(heaviest = listOf(SubscriberLoad(heavy, 5_000), SubscriberLoad(light, 50)))
+            },
+        )
+        test.advance(1_000)
+        offer("h1", heavy)
+        offer("l1", light)
+        offer("l2", light)
+
+        expectThat(order()).containsExactly("l1", "l2", "h1")
+    }
+
+    @Test
+    fun `long work does not take the slots reserved for short work`() {
+        idle.inFlightLong = 6
+        offer("long", heavy, promptTokens = 10_000)
+
+        expectThat(queue.poll(test.world, idle)).isNull()
+        offer("short", light)
+        expectThat(order()).containsExactly("short")
+    }
+
+    @Test
+    fun `a second long prompt waits for the first one, so that short work waits for one at most`() {
+        idle.longPromptsPending = 1
+        offer("long", heavy, promptTokens = 10_000)
+
+        expectThat(queue.poll(test.world, idle)).isNull()
+    }
+
+    @Test
+    fun `a stream of short work does not starve long work`() {
+        offer("long", heavy, promptTokens = 10_000)
+        for (number in 1..9) offer("s$number", light)
+
+        expectThat(order().indexOf("long")).isEqualTo(4)
+    }
+
+    @Test
+    fun `a removed attempt is not dispatched after it was cancelled`() {
+        val attempt = offer("l1", light)
+
+        expectThat(queue.remove(attempt.id)).isTrue()
+        expectThat(queue.remove(attempt.id)).isFalse()
+        expectThat(order()).containsExactly()
+    }
+
+    @Test
+    fun `a full queue of one subscriber gives way to another but not to itself`() {
+        for (number in 1..3) offer("h$number", heavy)
+        val newcomer = Attempt(AttemptId("l1"), request("l1", light), Origin.Local, idlePlace, 0, 1)
+        val own = Attempt(AttemptId("h4"), request("h4", heavy), Origin.Local, idlePlace, 0, 1)
+
+        expectThat(queue.displacedBy(newcomer)?.id?.value).isEqualTo("h3")
+        expectThat(queue.displacedBy(own)).isNull()
+    }
+
+    private val idlePlace = Place.Queued(idle.id)
+}
--- a/decisions/src/test/kotlin/org/pomeloladder/decisions/TestWorld.kt
+++ b/decisions/src/test/kotlin/org/pomeloladder/decisions/TestWorld.kt
@@ -119,7 +119,10 @@
         CHAT to Service.LanguageModel(ModelId("general-1")),
         ORDERS to Service.Plain(idempotent = false),
     ),
-    subscribers = mapOf(CAFE to Subscriber(GROUP, setOf(ApiKeyHash("0".repeat(64))))),
+    subscribers = mapOf(
+        CAFE to Subscriber(GROUP, setOf(ApiKeyHash("0".repeat(64)))),
+        SubscriberId("cafe-2") to Subscriber(GROUP, setOf(ApiKeyHash("1".repeat(64)))),
+    ),
 )
 
 internal fun entryVm(id: String, domain: FailureDomainId = NORTE) =
