--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/World.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/World.kt
@@ -98,4 +98,7 @@
     /** Named in the question that a peer has to answer before the hold after a pause ends; zero outside a hold. */
     var pauseNonce = 0L
     var nextAttempt = 0L
+
+    /** Mean of the usage of all subscribers with usage, as of the last scan. */
+    var meanUsageTokens = 0.0
 }
