Add the administration API and the trace of decisions

Cause: operators could read only metrics; nothing showed the configuration in force, the backend servers or why a request went where it went. Change: AdministrationApi on its own listener with its own keys, its shapes in one file, a check of a patch by the same fold that every process runs, a TraceSystem that reads a tick's events and commands into a bounded table, latency histograms and gauges of the control state, and typed JSON for unknown paths and wrong methods on both listeners.

--- a/bench/src/main/kotlin/org/pomeloladder/bench/DaemonProcess.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/DaemonProcess.kt
@@ -10,12 +10,16 @@
 import org.http4k.core.Request
 import org.pomeloladder.configuration.Address
 import org.pomeloladder.configuration.EntryVmRecord
+import org.pomeloladder.daemon.hashOfKey
 
 private const val READY_TIMEOUT_MS = 60_000L
 private const val POLL_MS = 50L
 private const val STOP_TIMEOUT_S = 20L
 private const val SHARED_KEY_HEX = "6d79207368617265642074657374206b6579"
 
+/** The administration key of every daemon that is started here. */
+const val ADMINISTRATION_KEY = "key-administration"
+
 /** Starts and stops the daemon of [record]. */
 class DaemonProcess(
     val record: EntryVmRecord,
@@ -91,7 +95,10 @@
         failureDomain: ${record.domain}
         callers: {host: ${record.callerAddress.host}, port: ${record.callerAddress.port}}
         peers: {host: ${record.peerAddress.host}, port: ${record.peerAddress.port}}
-        administration: {host: ${administration.host}, port: ${administration.port}, keyHashes: []}
+        administration:
+          host: ${administration.host}
+          port: ${administration.port}
+          keyHashes: ["${hashOfKey(ADMINISTRATION_KEY)}"]
         sharedKeyHex: "$SHARED_KEY_HEX"
         platform: {host: ${platform.host}, port: ${platform.port}}
     """.trimIndent()
--- a/bench/src/main/kotlin/org/pomeloladder/bench/Demo.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/Demo.kt
@@ -31,6 +31,9 @@
     println(
         "the deployment stays up; end it with Ctrl-C. Subscribers: key-krabia-kiosk-1, key-krabia-staff",
     )
+    println("  export POMELOLADDER_KEY=$ADMINISTRATION_KEY")
+    val addresses = cluster.daemons.values.joinToString(",") { it.administration.toString() }
+    println("  export POMELOLADDER_ENTRIES=$addresses")
     cluster.daemons.values.forEach { daemon ->
         println(
             "  ${daemon.record.id}: callers ${daemon.record.callerAddress}, administration ${daemon.administration}",
--- /dev/null
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/AdministrationApi.kt
@@ -0,0 +1,137 @@
+/*
+ * The HTTP front end for operators, on a listener of its own. It reads the control state and checks patches; the only
+ * change it can ask for is a graceful shutdown. `/metrics` and `/healthz` are open, everything else needs an
+ * administration key.
+ */
+package org.pomeloladder.daemon
+
+import java.util.concurrent.TimeoutException
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.encodeToString
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.http4k.core.then
+import org.http4k.routing.RoutingHttpHandler
+import org.http4k.routing.bind
+import org.http4k.routing.path
+import org.http4k.routing.routes
+import org.pomeloladder.configuration.ApiKeyHash
+import org.pomeloladder.configuration.Patch
+import org.pomeloladder.decisions.DrainAsked
+import org.pomeloladder.decisions.RequestId
+import org.pomeloladder.decisions.World
+
+/** Largest patch that can be checked; the platform takes no larger value. */
+private const val MAX_PATCH_BYTES = 1024 * 1024
+
+/** One route, as `docs/administration.yaml` lists it. */
+internal class AdministrationRoute(
+    val method: Method,
+    val path: String,
+    val isOpen: Boolean = false,
+    val handle: HttpHandler,
+)
+
+/** Serves operators. Keys are compared by their hashes in [keyHashes]. */
+class AdministrationApi(
+    private val control: ControlAccess,
+    private val metrics: Metrics,
+    private val keyHashes: Set<ApiKeyHash>,
+) {
+    internal val table: List<AdministrationRoute> = listOf(
+        AdministrationRoute(Method.GET, "/healthz", isOpen = true) {
+            Response(Status.OK).body("ok\n")
+        },
+        AdministrationRoute(Method.GET, "/metrics", isOpen = true) { expose() },
+        read("/v1/process") { _ ->
+            ProcessStatus(self.vm.value, self.domain.value, self.incarnation.value)
+        },
+        read("/v1/configuration") { configurationStatus(it) },
+        AdministrationRoute(Method.POST, "/v1/configuration/check", handle = ::check),
+        read("/v1/groups") { _ -> groupStatuses() },
+        read("/v1/services") { _ -> serviceStatuses() },
+        read("/v1/regions") { _ -> regionStatuses() },
+        read("/v1/usage") { _ -> usageStatuses() },
+        read("/v1/backends") { backendStatuses(it) },
+        read("/v1/entries") { entryStatuses(it) },
+        AdministrationRoute(Method.GET, "/v1/requests/{id}", handle = ::trace),
+        AdministrationRoute(Method.POST, "/v1/drain", handle = ::drain),
+    )
+
+    /** All routes of the administration listener. */
+    fun handler(): HttpHandler = typedErrors().then(routes(table.map(::bound)))
+
+    private fun bound(route: AdministrationRoute): RoutingHttpHandler =
+        route.path bind route.method to { request ->
+            if (route.isOpen || isAuthorized(request)) route.handle(request) else unauthorized()
+        }
+
+    private inline fun <reified T> read(path: String, crossinline copy: World.(Long) -> T) =
+        AdministrationRoute(Method.GET, path) {
+            answer(control.readAt { world, nowMs -> world.copy(nowMs) })
+        }
+
+    private fun expose(): Response {
+        // Counters stay readable while the control thread is stuck, which is when they are needed most.
+        try {
+            metrics.show(control.readAt { world, nowMs -> world.gauges(nowMs) })
+        } catch (_: TimeoutException) {
+            return Response(Status.OK).header("Content-Type", METRICS_TYPE).body(metrics.expose())
+        }
+        return Response(Status.OK).header("Content-Type", METRICS_TYPE).body(metrics.expose())
+    }
+
+    private fun check(request: Request): Response {
+        val bytes = request.readBody(MAX_PATCH_BYTES) ?: return error(
+            Status.REQUEST_ENTITY_TOO_LARGE,
+            "too-large",
+            "a patch has at most $MAX_PATCH_BYTES bytes",
+        )
+        val patch = try {
+            daemonJson.decodeFromString<Patch>(bytes.decodeToString())
+        } catch (e: SerializationException) {
+            val detail = "body is not a patch: ${e.message.orEmpty().lineSequence().first()}"
+            return error(Status.BAD_REQUEST, "bad-request", detail)
+        }
+        val snapshot = control.read { it.configuration.snapshot }
+            ?: return error(Status.SERVICE_UNAVAILABLE, "not-ready", "no configuration yet")
+        return answer(snapshot.check(patch))
+    }
+
+    private fun trace(request: Request): Response {
+        val id = RequestId(request.path("id").orEmpty())
+        val trace = control.readAt { world, nowMs -> world.traceAnswer(id, nowMs) }
+            ?: return error(Status.NOT_FOUND, "unknown-request", "no trace of request $id here")
+        return answer(trace)
+    }
+
+    private fun drain(@Suppress("UNUSED_PARAMETER") request: Request): Response {
+        control.post(DrainAsked)
+        val answer = control.read { world ->
+            DrainAnswer(world.self.vm.value, world.process.isDraining, world.requests.size)
+        }
+        return answer(answer).status(Status.ACCEPTED)
+    }
+
+    private fun isAuthorized(request: Request): Boolean {
+        val key = request.apiKey() ?: return false
+        return hashOfKey(key) in keyHashes
+    }
+
+    private fun unauthorized() =
+        error(Status.UNAUTHORIZED, "unauthorized", "no valid administration key")
+
+    private inline fun <reified T> answer(value: T): Response = Response(Status.OK)
+        .header("Content-Type", "application/json")
+        .body(daemonJson.encodeToString(value))
+
+    private fun error(status: Status, reason: String, detail: String) =
+        errorResponse(status, reason, detail)
+
+    private companion object {
+        const val METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+    }
+}
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/ControlAccess.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/ControlAccess.kt
@@ -16,11 +16,16 @@
     override fun post(event: Event) = sink.post(event)
 
     /** Runs [read] on the control thread and waits for its result. [read] must copy what it returns. */
-    fun <T> read(read: (World) -> T): T {
+    fun <T> read(read: (World) -> T): T = readAt { world, _ -> read(world) }
+
+    /** As [read], with the time of the tick in milliseconds. */
+    fun <T> readAt(read: (World, Long) -> T): T {
         val result = CompletableFuture<T>()
         sink.post(
-            Inspection { world, _ ->
-                runCatching { read(world) }.fold(result::complete, result::completeExceptionally)
+            Inspection { world, nowMs ->
+                runCatching {
+                    read(world, nowMs)
+                }.fold(result::complete, result::completeExceptionally)
             },
         )
         return result.get(READ_TIMEOUT_MS, TimeUnit.MILLISECONDS)
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/Daemon.kt
@@ -12,11 +12,7 @@
 import org.eclipse.jetty.server.ServerConnector
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 import org.http4k.core.HttpHandler
-import org.http4k.core.Method
-import org.http4k.core.Response
-import org.http4k.core.Status
-import org.http4k.routing.bind
-import org.http4k.routing.routes
+import org.http4k.core.then
 import org.http4k.server.Http4kServer
 import org.http4k.server.Jetty
 import org.http4k.server.asServer
@@ -77,13 +73,14 @@
     private val access = ControlAccess(control)
     private val callerServer = listener(
         settings.callers,
-        CallerApi(traffic, access, RequestIds(settings.vm, incarnation), settings.limits).handler(),
+        typedErrors().then(
+            CallerApi(traffic, access, RequestIds(settings.vm, incarnation), settings.limits)
+                .handler(),
+        ),
     )
     private val administrationServer = listener(
         settings.administration,
-        routes(
-            "/metrics" bind Method.GET to { Response(Status.OK).body(metrics.expose()) },
-        ),
+        AdministrationApi(access, metrics, settings.administrationKeyHashes).handler(),
     )
 
     fun start() {
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/ErrorResponses.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/ErrorResponses.kt
@@ -3,15 +3,49 @@
  */
 package org.pomeloladder.daemon
 
+import java.util.concurrent.TimeoutException
 import kotlinx.serialization.encodeToString
+import org.http4k.core.Filter
 import org.http4k.core.Response
 import org.http4k.core.Status
 import org.pomeloladder.decisions.Refusal
 import org.pomeloladder.decisions.RefusalReason
 import org.pomeloladder.decisions.RequestId
+import org.pomeloladder.decisions.RunState
 
 private const val MS_PER_SECOND = 1_000L
 
+/** A typed error that is about the HTTP request itself and ran nothing. */
+internal fun errorResponse(status: Status, reason: String, detail: String): Response {
+    val body = ErrorAnswer(ErrorDetail(reason, RunState.NOT_RUN.code, detail))
+    return Response(status)
+        .header("Content-Type", "application/json")
+        .body(daemonJson.encodeToString(body))
+}
+
+/** Gives typed JSON where no route matched, and where the control thread did not answer in time. */
+internal fun typedErrors() = Filter { next ->
+    { request ->
+        val response = try {
+            next(request)
+        } catch (_: TimeoutException) {
+            errorResponse(Status.SERVICE_UNAVAILABLE, "control-timeout", "try another entry VM")
+        }
+        val isTyped = response.header("Content-Type") != null
+        when {
+            isTyped -> response
+            response.status == Status.NOT_FOUND ->
+                errorResponse(Status.NOT_FOUND, "unknown-path", "no such path: ${request.uri.path}")
+            response.status == Status.METHOD_NOT_ALLOWED -> errorResponse(
+                Status.METHOD_NOT_ALLOWED,
+                "wrong-method",
+                "${request.method} is not allowed for ${request.uri.path}",
+            )
+            else -> response
+        }
+    }
+}
+
 /** The HTTP status for a refusal with [reason]. */
 internal fun statusOf(reason: RefusalReason): Status = when (reason) {
     RefusalReason.UNAUTHORIZED -> Status.UNAUTHORIZED
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/RealJournal.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/RealJournal.kt
@@ -8,6 +8,7 @@
 import org.apache.logging.log4j.message.StringMapMessage
 import org.pomeloladder.decisions.Counter
 import org.pomeloladder.decisions.Journal
+import org.pomeloladder.decisions.Latency
 import org.pomeloladder.decisions.LogEvent
 import org.pomeloladder.decisions.Severity
 
@@ -26,6 +27,8 @@
     override fun count(counter: Counter, reason: String, amount: Long) =
         metrics.count(counter, reason, amount)
 
+    override fun observe(latency: Latency, durationMs: Long) = metrics.observe(latency, durationMs)
+
     private fun levelOf(severity: Severity) = when (severity) {
         Severity.INFO -> Level.INFO
         Severity.WARN -> Level.WARN
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/CompletionSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/CompletionSystem.kt
@@ -29,6 +29,7 @@
         if (request.winner != null) return
         request.winner = id
         request.firstTokenAtMs = tick.nowMs
+        tick.journal.observe(Latency.FIRST_TOKEN, tick.nowMs - request.arrivedMs)
         cancelOthers(world, tick, request, id)
     }
 
@@ -61,6 +62,7 @@
         world.requests.remove(request.spec.id)
         tick.give(CompleteRequest(request.spec.id))
         tick.journal.count(Counter.REQUESTS, "completed")
+        tick.journal.observe(Latency.REQUEST, tick.nowMs - request.arrivedMs)
     }
 
     private fun cancelOthers(world: World, tick: Tick, request: Request, winner: AttemptId) {
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Journal.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Journal.kt
@@ -10,6 +10,15 @@
 
     /** Adds [amount] to [counter] for the bounded label value [reason]. */
     fun count(counter: Counter, reason: String, amount: Long = 1)
+
+    /** Adds one observation of [durationMs] to [latency]. */
+    fun observe(latency: Latency, durationMs: Long) = Unit
+}
+
+/** Latencies of callers' requests, measured from arrival at the ingress. */
+enum class Latency(val metricName: String, val help: String) {
+    FIRST_TOKEN("pomeloladder_first_token_seconds", "Time from arrival to the first token"),
+    REQUEST("pomeloladder_request_seconds", "Time from arrival to the end of the answer"),
 }
 
 /** Discards everything. */
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Systems.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Systems.kt
@@ -25,4 +25,5 @@
     DispatchSystem(policies.queue),
     CompletionSystem(),
     DrainSystem(),
+    TraceSystem(),
 )
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/World.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/World.kt
@@ -36,6 +36,8 @@
     val attempts = Table<AttemptId, Attempt>()
     val orders = Table<OrderKey, Order>()
     val queues = Table<BackendServerId, WorkQueue>()
+    val traces = Table<RequestId, RequestTrace>()
+    val tracedAttempts = Table<AttemptId, RequestId>()
 
     /** Requests that wait for a routing decision, in order of arrival. */
     val routeQueue = ArrayDeque<RequestId>()
