--- /dev/null
+++ b/daemon/src/test/kotlin/org/pomeloladder/daemon/MetricsTest.kt
@@ -0,0 +1,32 @@
+package org.pomeloladder.daemon
+
+import org.junit.jupiter.api.Test
+import org.pomeloladder.decisions.Counter
+import org.pomeloladder.decisions.Latency
+import org.pomeloladder.decisions.RefusalReason
+import org.pomeloladder.peer.PeerTrafficMeter
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEmpty
+
+class MetricsTest {
+    private val metrics = Metrics(PeerTrafficMeter())
+    private val journal = RealJournal(metrics)
+
+    @Test
+    fun `no label is named after an id, so that the number of series stays bounded`() {
+        Counter.entries.forEach { journal.count(it, RefusalReason.QUEUE_FULL.code) }
+        Latency.entries.forEach { journal.observe(it, 10) }
+        val names = Regex("[{,]([a-z_]+)=\"").findAll(metrics.expose()).map { it.groupValues[1] }
+
+        val allowed = setOf("reason", "channel", "direction", "le")
+        expectThat(names.toSet() - allowed).isEmpty()
+    }
+
+    @Test
+    fun `latencies are exposed in seconds, so that a unit error does not hide slow answers`() {
+        journal.observe(Latency.FIRST_TOKEN, 1_300)
+
+        expectThat(metrics.expose()).contains("pomeloladder_first_token_seconds_sum 1.3")
+    }
+}
