--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Systems.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Systems.kt
@@ -27,4 +27,5 @@
     UsageSystem(),
     CompletionSystem(),
     DrainSystem(),
+    TraceSystem(),
 )
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/World.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/World.kt
@@ -39,6 +39,8 @@
     val orders = Table<OrderKey, Order>()
     val orderWindows = Table<BackendServerId, OrderWindow>()
     val queues = Table<BackendServerId, WorkQueue>()
+    val traces = Table<RequestId, RequestTrace>()
+    val tracedAttempts = Table<AttemptId, RequestId>()
 
     /** Requests that wait for a routing decision, in order of arrival. */
     val routeQueue = ArrayDeque<RequestId>()
