Add the load tool with its first four experiments

Change: scripts/bench runs heavy-user, short-behind-long, stragglers and cost against real daemons, open-loop, with latencies from the time when a call was due. The baselines random and least-reported-load implement RoutePolicy and are chosen by the settings section policies. The owner of a server reads its load report each second, and heartbeats carry it. The engine stand-in runs one thread with one sleep a step: decoding slows with the batch, and prompts are processed in chunks between decoding steps.

--- /dev/null
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/Bench.kt
@@ -0,0 +1,46 @@
+/*
+ * The load tool: `scripts/bench NAME [--seed N]`.
+ */
+package org.pomeloladder.bench
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.UsageError
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.optional
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.long
+
+/** All experiments, in the order of the design page. */
+internal val experiments: List<Experiment> = listOf(
+    HeavyUserExperiment(),
+    ShortBehindLongExperiment(),
+    StragglersExperiment(),
+    CostExperiment(),
+    // `slopes` (control cost against the size of the fleet) goes here.
+)
+
+private class Bench : CliktCommand(name = "bench") {
+    private val name by argument(help = "experiment; without it they are listed").optional()
+    private val seed by option(help = "seed of arrivals and prompts").long().default(1)
+
+    override fun run() {
+        val wanted = name
+        if (wanted == null) {
+            experiments.forEach { echo("${it.name.padEnd(18)} ${it.summary}") }
+            return
+        }
+        val experiment = experiments.firstOrNull { it.name == wanted }
+            ?: throw UsageError("no experiment $wanted; without a name they are listed")
+        val result = experiment.run(seed)
+        echo(result.toTable(experiment, seed))
+        echo(result.toJson(experiment, seed))
+    }
+}
+
+fun main(arguments: Array<String>) {
+    Bench().main(arguments)
+    // The HTTP clients keep threads that would hold the process.
+    System.exit(0)
+}
--- a/bench/src/main/kotlin/org/pomeloladder/bench/Cluster.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/Cluster.kt
@@ -42,7 +42,10 @@
         }
         platform.publishEntryVms(entryVms)
         for (record in entryVms) {
-            daemons[record.id] = DaemonProcess(record, freeAddress(), platform.address)
+            val isConnected = spec.domains.first { it.id == record.domain }.reachesPlatform
+            val platformAddress = if (isConnected) platform.address else freeAddress()
+            daemons[record.id] =
+                DaemonProcess(record, freeAddress(), platformAddress, spec.policies)
         }
         daemons.values.forEach(DaemonProcess::start)
         daemons.values.forEach(DaemonProcess::awaitReady)
--- a/bench/src/main/kotlin/org/pomeloladder/bench/ClusterSpec.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/ClusterSpec.kt
@@ -14,6 +14,9 @@
     var modelService = "chat"
     var orderService = "orders"
 
+    /** The settings section `policies` of every daemon, as YAML in one line. */
+    var policies = "{}"
+
     /** Adds a failure domain in [region]. */
     fun domain(region: String, name: String, build: DomainSpec.() -> Unit = {}) {
         domains += DomainSpec(RegionId(region), FailureDomainId(name)).apply(build)
@@ -32,6 +35,9 @@
     var orderServers = 1
     var engineProfile = EngineProfile()
     var engineConcurrency = 8
+
+    /** False gives the domain's daemons a platform address where nothing listens. */
+    var reachesPlatform = true
 }
 
 /** One subscriber, in a group of its own. */
--- a/bench/src/main/kotlin/org/pomeloladder/bench/DaemonProcess.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/DaemonProcess.kt
@@ -21,6 +21,7 @@
     val record: EntryVmRecord,
     val administration: Address,
     private val platform: Address,
+    private val policies: String = "{}",
 ) : AutoCloseable {
     private val directory = File.createTempFile("pomeloladder-", "").apply {
         delete()
@@ -94,6 +95,7 @@
         administration: {host: ${administration.host}, port: ${administration.port}, keyHashes: []}
         sharedKeyHex: "$SHARED_KEY_HEX"
         platform: {host: ${platform.host}, port: ${platform.port}}
+        policies: $policies
     """.trimIndent()
 
     private companion object {
--- /dev/null
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/ShortBehindLongExperiment.kt
@@ -0,0 +1,57 @@
+/*
+ * First tokens of short questions while a tenth of the calls are long manuals or briefings.
+ */
+package org.pomeloladder.bench
+
+import kotlin.random.Random
+import org.pomeloladder.standins.EngineProfile
+
+private const val SHORT_PER_SECOND = 36.0
+private const val LONG_PER_SECOND = 4.0
+private const val PHASE_MS = 12_000L
+private const val SUBSCRIBERS = 20
+private const val P95 = 95.0
+
+internal class ShortBehindLongExperiment :
+    DisturbanceExperiment(1.5, 3.0, "{queue: first-come}") {
+    override val name = "short-behind-long"
+    override val summary =
+        "short questions' p95 first token at about 80% load with 10% long manuals, against none"
+    override val target = "at most 1.5; baseline at least 3 times worse"
+    override val measure = "short p95 first token"
+    override val setup = listOf(
+        "1 domain, 4 entry VMs, 4 engines of 8 slots, 20 ms a token, 10 prompt tokens/ms",
+        "short: $SHORT_PER_SECOND req/s, 60 prompt and 10 output tokens; long: $LONG_PER_SECOND " +
+            "req/s, 4000 prompt and 150 output tokens; the run without has the short ones only",
+        "12 s without, 12 s with the long ones; $SUBSCRIBERS subscribers",
+    )
+
+    override fun spec() = clusterSpec {
+        domain("norte", "norte-a") {
+            entryVms = 4
+            engines = 4
+            orderServers = 0
+            engineProfile = EngineProfile(decodeMsPerToken = 20.0, prefillTokensPerMs = 10.0)
+        }
+        repeat(SUBSCRIBERS) { subscriber("counter-$it", listOf("norte")) }
+    }
+
+    override fun quietCalls(random: Random) = shortCalls(random, "quiet")
+
+    override fun disturbedCalls(random: Random): List<Call> {
+        val short = shortCalls(random, "disturbed")
+        val long = poissonArrivals(random, PHASE_MS, LONG_PER_SECOND).mapIndexed { index, at ->
+            Call(at, "long", key(random), listOf(textOf("manual-$index", 4_000)), maxTokens = 150)
+        }
+        return short + long
+    }
+
+    override fun figureMs(result: LoadResult) = result.kind("short").firstTokenMs(P95)
+
+    private fun shortCalls(random: Random, phase: String) =
+        poissonArrivals(random, PHASE_MS, SHORT_PER_SECOND).mapIndexed { index, at ->
+            Call(at, "short", key(random), listOf(textOf("$phase-$index", 60)), maxTokens = 10)
+        }
+
+    private fun key(random: Random) = "key-counter-${random.nextInt(SUBSCRIBERS)}"
+}
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/Daemon.kt
@@ -21,6 +21,7 @@
 import org.http4k.server.Jetty
 import org.http4k.server.asServer
 import org.pomeloladder.configuration.Address
+import org.pomeloladder.configuration.BackendServerRecord
 import org.pomeloladder.decisions.DrainAsked
 import org.pomeloladder.decisions.Incarnation
 import org.pomeloladder.decisions.LogEvent
@@ -28,13 +29,19 @@
 import org.pomeloladder.decisions.Scheduler
 import org.pomeloladder.decisions.Self
 import org.pomeloladder.decisions.World
-import org.pomeloladder.decisions.policies
 import org.pomeloladder.decisions.systems
 import org.pomeloladder.peer.PeerIdentity
 import org.pomeloladder.peer.RealPeerTransport
 
+/** The servers that this process owns and may ask for their load. */
+private fun World.ownedServers(): List<BackendServerRecord> =
+    backends.filter { it.owner == self.vm }.map { it.record }
+
 /** A running entry process. [settings] are checked; [policies] are those of production unless an experiment sets them. */
-class Daemon(private val settings: Settings, policies: Policies = policies()) {
+class Daemon(
+    private val settings: Settings,
+    policies: Policies = chosenPolicies(settings.policies),
+) {
     // Wall-clock time only orders incarnations of one VM; nothing else uses it.
     private val incarnation = Incarnation(System.currentTimeMillis())
     private val identity = PeerIdentity(
@@ -43,7 +50,9 @@
         HexFormat.of().parseHex(settings.sharedKeyHex),
     )
     private val transport = RealPeerTransport(identity, settings.peers)
-    private val metrics = Metrics(transport.meter)
+    private val metrics = Metrics(transport.meter) {
+        traffic.view.snapshot?.version?.value ?: 0
+    }
     private val journal = RealJournal(metrics)
     private val stopped = CountDownLatch(1)
     private val self = Self(
@@ -75,6 +84,7 @@
         onStop = stopped::countDown,
     )
     private val access = ControlAccess(control)
+    private val loads = LoadReader({ access.read { it.ownedServers() } }, control)
     private val callerServer = listener(
         settings.callers,
         CallerApi(traffic, access, RequestIds(settings.vm, incarnation), settings.limits).handler(),
@@ -90,6 +100,7 @@
         traffic.start(control)
         control.start()
         platform.start()
+        loads.start()
         callerServer.start()
         administrationServer.start()
         val details = mapOf("vm" to settings.vm, "incarnation" to incarnation)
@@ -104,6 +115,7 @@
         stopped.await()
         callerServer.stop()
         administrationServer.stop()
+        loads.close()
         control.stop()
         platform.close()
         traffic.close()
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/Metrics.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/Metrics.kt
@@ -15,8 +15,8 @@
 
 private const val NANOS_PER_SECOND = 1e9
 
-/** All metrics of the process. */
-class Metrics(meter: PeerTrafficMeter) : TickMeter {
+/** All metrics of the process. [configVersion] gives the version in force, or zero before the first. */
+class Metrics(meter: PeerTrafficMeter, configVersion: () -> Long) : TickMeter {
     private val registry = PrometheusRegistry()
     private val counters = DecisionCounter.entries.associateWith { counter ->
         Counter.builder().name(counter.metricName).help(counter.help)
@@ -37,6 +37,10 @@
                 callback.call(meter.trafficReceivedBytes.toDouble(), "traffic", "received")
             }
             .register(registry)
+        GaugeWithCallback.builder().name("pomeloladder_config_version")
+            .help("Configuration version in force")
+            .callback { it.call(configVersion().toDouble()) }
+            .register(registry)
     }
 
     override fun observe(durationNanos: Long, events: Int) {
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/Settings.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/Settings.kt
@@ -23,6 +23,7 @@
     val platform: Address,
     val seeds: List<Address>,
     val limits: Limits,
+    val policies: PolicyNames = PolicyNames(),
 )
 
 /** Bounds that protect one process. */
@@ -33,6 +34,13 @@
     val backendIdleTimeoutMs: Long = 30_000,
 )
 
+/** Names of the policies; the defaults are those of production. Others are baselines of experiments. */
+data class PolicyNames(
+    val route: String = "affinity",
+    val queue: String = "fair",
+    val hedges: Boolean = true,
+)
+
 /** One problem of a settings file: where, what was expected, what was found. */
 data class SettingsProblem(val path: String, val expected: String, val found: String) {
     override fun toString() = "$path: expected $expected, found $found"
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/SettingsReader.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/SettingsReader.kt
@@ -17,6 +17,8 @@
 import org.pomeloladder.configuration.VmId
 
 private const val MIN_SHARED_KEY_DIGITS = 32
+private val ROUTE_POLICIES = listOf("affinity", "random", "least-reported-load")
+private val QUEUE_POLICIES = listOf("fair", "first-come")
 private val ID = Regex("[A-Za-z0-9][A-Za-z0-9_-]{0,62}")
 private val HEX = Regex("([0-9a-f]{2})+")
 private val SHA256_HEX = Regex("[0-9a-f]{64}")
@@ -88,11 +90,21 @@
                 ),
             ).also { rejectUnknown() }
         },
+        policies = section("policies", isOptional = true) { policyNames() },
     )
     rejectUnknown()
     return settings
 }
 
+private fun SettingsReader.policyNames(): PolicyNames {
+    val defaults = PolicyNames()
+    return PolicyNames(
+        route = choice("route", ROUTE_POLICIES, defaults.route),
+        queue = choice("queue", QUEUE_POLICIES, defaults.queue),
+        hedges = choice("hedges", listOf("true", "false"), "${defaults.hedges}").toBoolean(),
+    ).also { rejectUnknown() }
+}
+
 private fun SettingsReader.address(vararg alsoKnown: String): Address {
     val host = text("host", Regex("[0-9.]+|[0-9a-fA-F:]+"), "an IP number")
     val port = number("port", 1L..65_535L, null).toInt()
@@ -147,6 +159,16 @@
         return value
     }
 
+    /** One of [allowed]; [default] when the field is missing. */
+    fun choice(field: String, allowed: List<String>, default: String): String {
+        if (node(field) == null) return default
+        val found = scalar(field)
+        if (found in allowed) return checkNotNull(found)
+        val expected = "one of ${allowed.joinToString()}"
+        problem(field, expected, found?.let { "\"$it\"" } ?: describe(field))
+        return default
+    }
+
     fun <T> section(field: String, isOptional: Boolean = false, read: SettingsReader.() -> T): T {
         val found = node(field)
         val isMissing = found == null || found is YamlNull
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/BackendSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/BackendSystem.kt
@@ -68,6 +68,7 @@
             row.queued = load.queued
             row.inFlightCostTokens = load.costTokens
             row.firstTokenMs = load.firstTokenMs.toDouble()
+            row.reportedLoad = load.reportedLoad
         }
         for (id in heartbeat.leavingServers) world.backends[id]?.isLeavingByPeer = true
     }
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/MembershipSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/MembershipSystem.kt
@@ -164,4 +164,5 @@
     costTokens = queuedCostTokens + inFlightCostTokens,
     firstTokenMs = firstTokenMs.toInt(),
     isEjected = nowMs < ejectedUntilMs,
+    reportedLoad = reportedLoad,
 )
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Messages.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Messages.kt
@@ -47,6 +47,7 @@
     val costTokens: Long,
     val firstTokenMs: Int,
     val isEjected: Boolean,
+    val reportedLoad: Int = 0,
 )
 
 /** Decayed usage of one heavy subscriber at the sender. */
--- a/standins/src/main/kotlin/org/pomeloladder/standins/EngineStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/EngineStandIn.kt
@@ -5,10 +5,9 @@
  */
 package org.pomeloladder.standins
 
+import java.io.IOException
 import java.io.InputStream
-import java.util.concurrent.Semaphore
 import java.util.concurrent.atomic.AtomicInteger
-import java.util.concurrent.atomic.AtomicLong
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.http4k.core.Method
@@ -19,14 +18,18 @@
 import org.http4k.routing.routes
 import org.pomeloladder.configuration.Address
 
-private const val CHARACTERS_PER_TOKEN = 4
+internal const val CHARACTERS_PER_TOKEN = 4
 private const val BYTE_MASK = 0xff
 private const val SEED_MASK = 0xffff
-private const val NANOS_PER_MS = 1_000_000.0
 
-/** Speed and size of one engine. */
+/**
+ * Speed and size of one engine. Each further sequence of the batch adds the share [batchSlowdown] to the time of a
+ * decoding step. Prompts are processed in chunks of [chunkTokens], between which the others decode.
+ */
 data class EngineProfile(
     val slots: Int = 8,
+    val batchSlowdown: Double = 0.03,
+    val chunkTokens: Int = 512,
     val prefillTokensPerMs: Double = 20.0,
     val decodeMsPerToken: Double = 2.0,
     val cacheTokens: Int = 200_000,
@@ -47,15 +50,10 @@
 /** A model engine. */
 class EngineStandIn(private val profile: EngineProfile = EngineProfile(), port: Int = 0) : StandIn {
     private val listener = LoopbackListener(port, handler())
-    private val slots = Semaphore(profile.slots, true)
-    private val prefill = Any()
     private val cache = PrefixCache(profile.cacheTokens)
-    private val running = AtomicInteger()
-    private val waiting = AtomicInteger()
-    private val prefilledTokens = AtomicLong()
-    private val cachedTokens = AtomicLong()
     private val requests = AtomicInteger()
     private val report = LaggingReport(profile.reportLagMs)
+    private val batch = BatchLoop(profile, cache, { slowdown }, report::record)
 
     /** Multiplies all times; 10 makes the engine a straggler. */
     @Volatile
@@ -66,18 +64,28 @@
 
     /** Prompt tokens that had to be computed because no cached prefix covered them. */
     val prefilledTokenCount: Long
-        get() = prefilledTokens.get()
+        get() = batch.prefilledTokens.get()
 
     val cachedTokenCount: Long
-        get() = cachedTokens.get()
+        get() = batch.cachedTokens.get()
 
     /** Requests that the engine accepted so far. */
     val requestCount: Int
         get() = requests.get()
 
-    override fun start() = listener.start()
+    /** Time of all slots spent on requests so far, in nanoseconds. */
+    val busySlotNanos: Long
+        get() = batch.busySlotNanos.get()
+
+    override fun start() {
+        batch.start()
+        listener.start()
+    }
 
-    override fun close() = listener.close()
+    override fun close() {
+        batch.close()
+        listener.close()
+    }
 
     /** Forgets all cached prefixes, as after a restart. */
     fun clearCache() = cache.clear()
@@ -95,37 +103,19 @@
         return Response(Status.OK).header("Content-Type", "text/event-stream").body(stream)
     }
 
-    private fun pause(ms: Double) {
-        val nanos = (ms * slowdown * NANOS_PER_MS).toLong()
-        if (nanos > 0) java.util.concurrent.TimeUnit.NANOSECONDS.sleep(nanos)
-    }
-
-    /** Prompt processing is serial, as in an engine whose prefill fills the accelerator. */
-    private fun process(body: EngineRequest): Int = synchronized(prefill) {
-        val text = body.messages.joinToString("\n") { it.content }
-        val promptTokens = text.length / CHARACTERS_PER_TOKEN + 1
-        val cached = minOf(cache.match(text) / CHARACTERS_PER_TOKEN, promptTokens)
-        cache.add(text)
-        val fresh = promptTokens - cached
-        prefilledTokens.addAndGet(fresh.toLong())
-        cachedTokens.addAndGet(cached.toLong())
-        pause(fresh / profile.prefillTokensPerMs)
-        cached
-    }
-
-    private fun changeLoad(change: Int, of: AtomicInteger) {
-        of.addAndGet(change)
-        report.record(running.get() + waiting.get())
-    }
-
     private inner class AnswerStream(private val body: EngineRequest, private var token: Int) :
         InputStream() {
-        private val seed = answerSeed(body.messages.joinToString("\n") { it.content })
+        private val text = body.messages.joinToString("\n") { it.content }
+        private val seed = answerSeed(text)
+        private val sequence = BatchedSequence(
+            text = text,
+            promptTokens = text.length / CHARACTERS_PER_TOKEN + 1,
+            outputTokens = body.maxTokens - token,
+        )
         private var pending = ByteArray(0)
         private var position = 0
-        private var cached = -1
+        private var isSubmitted = false
         private var isDone = false
-        private var isReleased = false
 
         override fun read(): Int {
             val one = ByteArray(1)
@@ -140,41 +130,26 @@
             return count
         }
 
-        override fun close() = release()
+        /** Leaves the batch, so that a caller that closes its connection frees the slot. */
+        override fun close() {
+            sequence.isCancelled = true
+        }
 
         private fun advance(): Boolean {
-            if (isDone) {
-                release()
-                return false
-            }
-            if (cached < 0) begin()
+            if (isDone) return false
+            if (!isSubmitted) batch.submit(sequence)
+            isSubmitted = true
             pending = when {
-                token < body.maxTokens -> {
-                    pause(profile.decodeMsPerToken)
-                    event(token++)
-                }
-                else -> {
-                    isDone = true
-                    end()
-                }
+                token < body.maxTokens -> nextEvent()
+                else -> end().also { isDone = true }
             }.toByteArray()
             position = 0
             return true
         }
 
-        private fun begin() {
-            changeLoad(1, waiting)
-            slots.acquire()
-            changeLoad(-1, waiting)
-            changeLoad(1, running)
-            cached = process(body)
-        }
-
-        private fun release() {
-            if (isReleased || cached < 0) return
-            isReleased = true
-            slots.release()
-            changeLoad(-1, running)
+        private fun nextEvent(): String {
+            if (!sequence.awaitToken()) throw IOException("engine stopped")
+            return event(token++)
         }
 
         private fun event(index: Int): String {
@@ -183,14 +158,12 @@
         }
 
         private fun end(): String {
-            val usage = """{"prompt_tokens":${promptTokens()},"completion_tokens":$token,""" +
-                """"prompt_tokens_details":{"cached_tokens":$cached}}"""
+            val usage =
+                """{"prompt_tokens":${sequence.promptTokens},"completion_tokens":$token,""" +
+                    """"prompt_tokens_details":{"cached_tokens":${sequence.cachedTokens}}}"""
             val choice = """{"index":0,"delta":{},"finish_reason":"stop"}"""
             return "data: {\"choices\":[$choice],\"usage\":$usage}\n\ndata: [DONE]\n\n"
         }
-
-        private fun promptTokens() =
-            body.messages.joinToString("\n") { it.content }.length / CHARACTERS_PER_TOKEN + 1
     }
 }
 
--- a/standins/src/main/kotlin/org/pomeloladder/standins/PrefixCache.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/PrefixCache.kt
@@ -3,9 +3,7 @@
  */
 package org.pomeloladder.standins
 
-private const val CHARACTERS_PER_TOKEN = 4
-
-/** Prompts in order of use; the least recently used one goes first. Callers hold the engine's prefill lock. */
+/** Prompts in order of use; the least recently used one goes first. */
 internal class PrefixCache(private val maxTokens: Int) {
     private val prompts = ArrayDeque<String>()
     private var tokens = 0
--- /dev/null
+++ b/standins/src/test/kotlin/org/pomeloladder/standins/EngineStandInTest.kt
@@ -0,0 +1,73 @@
+package org.pomeloladder.standins
+
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.http4k.client.JettyClient
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+
+class EngineStandInTest {
+    @Test
+    fun `the streamed answer is the whole deterministic one, so tests can detect a cut or foreign answer`() =
+        withEngine { engine ->
+            expectThat(engine.answer("What is in the crab roll?", 12))
+                .isEqualTo(expectedAnswer("What is in the crab roll?", 12))
+        }
+
+    @Test
+    fun `a resumed answer starts at the asked token, so a resumed stream repeats and skips nothing`() =
+        withEngine { engine ->
+            val whole = expectedAnswer("Why does the frother leak?", 9)
+            val head = expectedAnswer("Why does the frother leak?", 4)
+
+            expectThat(head + engine.answer("Why does the frother leak?", 9, resumeOffset = 4))
+                .isEqualTo(whole)
+        }
+
+    @Test
+    fun `a prompt seen before costs no prefill, or affinity could not be measured`() =
+        withEngine { engine ->
+            val prompt = "menu ".repeat(400)
+            engine.answer(prompt, 1)
+            val afterFirst = engine.prefilledTokenCount
+            engine.answer("$prompt?", 1)
+
+            expectThat(engine.prefilledTokenCount - afterFirst).isEqualTo(1)
+            expectThat(engine.cachedTokenCount).isGreaterThan(0)
+        }
+
+    private fun withEngine(use: (EngineStandIn) -> Unit) {
+        EngineStandIn(EngineProfile(decodeMsPerToken = 0.0)).use { engine ->
+            engine.start()
+            use(engine)
+        }
+    }
+
+    private fun EngineStandIn.answer(
+        prompt: String,
+        maxTokens: Int,
+        resumeOffset: Int = 0,
+    ): String {
+        val body = """{"model":"m","max_tokens":$maxTokens,"messages":[""" +
+            """{"role":"user","content":"$prompt"}]}"""
+        val request = Request(Method.POST, "http://$address/v1/chat/completions")
+            .header("Resume-Offset", "$resumeOffset")
+            .body(body)
+        return http(request).bodyString().lines()
+            .filter { it.startsWith("data: {") }
+            .joinToString("") { line ->
+                val choice = standInJson.parseToJsonElement(line.removePrefix("data: ")).jsonObject
+                    .getValue("choices").jsonArray.first().jsonObject
+                choice.getValue("delta").jsonObject["content"]?.jsonPrimitive?.content.orEmpty()
+            }
+    }
+
+    private companion object {
+        val http = JettyClient()
+    }
+}
