--- a/bench/src/main/kotlin/org/pomeloladder/bench/Cluster.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/Cluster.kt
@@ -46,9 +46,8 @@
         }
         platform.publishEntryVms(entryVms.map { it.published() })
         for (record in entryVms) {
-            val platformAddress = faults?.platform(record.domain, platform.address)
-            val address = platformAddress ?: platform.address
-            daemons[record.id] = DaemonProcess(record, freeAddress(), address)
+            val address = platformAddressOf(record)
+            daemons[record.id] = DaemonProcess(record, freeAddress(), address, spec.policies)
         }
         daemons.values.forEach(DaemonProcess::start)
         daemons.values.forEach(DaemonProcess::awaitReady)
@@ -66,6 +65,12 @@
         faults?.close()
     }
 
+    private fun platformAddressOf(record: EntryVmRecord): Address {
+        val isConnected = spec.domains.first { it.id == record.domain }.reachesPlatform
+        if (!isConnected) return freeAddress()
+        return faults?.platform(record.domain, platform.address) ?: platform.address
+    }
+
     /** The record as peers see it: behind a proxy when the deployment has them. */
     private fun EntryVmRecord.published(): EntryVmRecord {
         val proxies = faults ?: return this
--- a/bench/src/main/kotlin/org/pomeloladder/bench/ClusterSpec.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/ClusterSpec.kt
@@ -17,6 +17,9 @@
     /** Whether peers, the platform and backend servers are reached through fault-injecting proxies. */
     var hasFaultProxies = false
 
+    /** The settings section `policies` of every daemon, as YAML in one line. */
+    var policies = "{}"
+
     /** Adds a failure domain in [region]. */
     fun domain(region: String, name: String, build: DomainSpec.() -> Unit = {}) {
         domains += DomainSpec(RegionId(region), FailureDomainId(name)).apply(build)
@@ -35,6 +38,9 @@
     var orderServers = 1
     var engineProfile = EngineProfile()
     var engineConcurrency = 8
+
+    /** False gives the domain's daemons a platform address where nothing listens. */
+    var reachesPlatform = true
 }
 
 /** One subscriber, in a group of its own. */
--- a/bench/src/main/kotlin/org/pomeloladder/bench/DaemonProcess.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/DaemonProcess.kt
@@ -25,6 +25,7 @@
     val record: EntryVmRecord,
     val administration: Address,
     private val platform: Address,
+    private val policies: String = "{}",
 ) : AutoCloseable {
     private val directory = File.createTempFile("pomeloladder-", "").apply {
         delete()
@@ -105,6 +106,7 @@
           keyHashes: ["${hashOfKey(ADMINISTRATION_KEY)}"]
         sharedKeyHex: "$SHARED_KEY_HEX"
         platform: {host: ${platform.host}, port: ${platform.port}}
+        policies: $policies
     """.trimIndent()
 
     private companion object {
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/BackendSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/BackendSystem.kt
@@ -75,6 +75,7 @@
             row.queued = load.queued
             row.inFlightCostTokens = load.costTokens
             row.firstTokenMs = load.firstTokenMs.toDouble()
+            row.reportedLoad = load.reportedLoad
         }
         // By an older list, a server that has come back since would still count as leaving.
         if (heartbeat.serverListRevision < world.process.serverListRevision) return
