Give daemons of a test deployment seeds and one version gauge

Change: the gauge read from the control state stays; each daemon of a deployment knows two peers of each domain. Conclusion: the restart tests can run.

--- a/bench/src/main/kotlin/org/pomeloladder/bench/Cluster.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/Cluster.kt
@@ -24,6 +24,7 @@
 import org.pomeloladder.standins.PlatformStandIn
 
 private const val ORDER_CONCURRENCY = 16
+private const val SEEDS_PER_DOMAIN = 2
 
 /** A running deployment. [start] before use; [close] ends its own processes. */
 class Cluster(private val spec: ClusterSpec) : AutoCloseable {
@@ -44,10 +45,12 @@
             platform.publishBackends(domain.id, startBackends(domain))
             entryVms += entryVmsOf(domain)
         }
-        platform.publishEntryVms(entryVms.map { it.published() })
+        val published = entryVms.map { it.published() }
+        platform.publishEntryVms(published)
+        val seeds = seedsOf(published)
         for (record in entryVms) {
             val address = platformAddressOf(record)
-            daemons[record.id] = DaemonProcess(record, freeAddress(), address, spec.policies)
+            daemons[record.id] = DaemonProcess(record, freeAddress(), address, seeds, spec.policies)
         }
         daemons.values.forEach(DaemonProcess::start)
         daemons.values.forEach(DaemonProcess::awaitReady)
@@ -65,6 +68,13 @@
         faults?.close()
     }
 
+    /** Two VMs of each domain, so that a fresh VM finds a peer while one VM of a domain is down. */
+    private fun seedsOf(vms: List<EntryVmRecord>): List<Address> = vms
+        .groupBy { it.domain }
+        .values
+        .flatMap { it.take(SEEDS_PER_DOMAIN) }
+        .map { it.peerAddress }
+
     private fun platformAddressOf(record: EntryVmRecord): Address {
         val isConnected = spec.domains.first { it.id == record.domain }.reachesPlatform
         if (!isConnected) return freeAddress()
--- a/bench/src/main/kotlin/org/pomeloladder/bench/DaemonProcess.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/DaemonProcess.kt
@@ -25,6 +25,7 @@
     val record: EntryVmRecord,
     val administration: Address,
     private val platform: Address,
+    private val seeds: List<Address>,
     private val policies: String = "{}",
 ) : AutoCloseable {
     private val directory = File.createTempFile("pomeloladder-", "").apply {
@@ -106,6 +107,7 @@
           keyHashes: ["${hashOfKey(ADMINISTRATION_KEY)}"]
         sharedKeyHex: "$SHARED_KEY_HEX"
         platform: {host: ${platform.host}, port: ${platform.port}}
+        seeds: [${seeds.joinToString { "{host: ${it.host}, port: ${it.port}}" }}]
         policies: $policies
     """.trimIndent()
 
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/Daemon.kt
@@ -46,9 +46,7 @@
         HexFormat.of().parseHex(settings.sharedKeyHex),
     )
     private val transport = RealPeerTransport(identity, settings.peers)
-    private val metrics = Metrics(transport.meter) {
-        traffic.view.snapshot?.version?.value ?: 0
-    }
+    private val metrics = Metrics(transport.meter)
     private val journal = RealJournal(metrics)
     private val stopped = CountDownLatch(1)
     private val self = Self(
@@ -95,7 +93,6 @@
     )
 
     fun start() {
-        metrics.exposeConfigVersion { traffic.view.snapshot?.version?.value ?: 0 }
         traffic.start(control)
         control.start()
         platform.start()
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/Metrics.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/Metrics.kt
@@ -30,8 +30,8 @@
     val ownedServers: Int,
 )
 
-/** All metrics of the process. [configVersion] gives the version in force, or zero before the first. */
-class Metrics(meter: PeerTrafficMeter, configVersion: () -> Long) : TickMeter {
+/** All metrics of the process. */
+class Metrics(meter: PeerTrafficMeter) : TickMeter {
     private val registry = PrometheusRegistry()
     private val counters = DecisionCounter.entries.associateWith { counter ->
         Counter.builder().name(counter.metricName).help(counter.help)
@@ -64,18 +64,6 @@
                 callback.call(meter.trafficReceivedBytes.toDouble(), "traffic", "received")
             }
             .register(registry)
-        GaugeWithCallback.builder().name("pomeloladder_config_version")
-            .help("Configuration version in force")
-            .callback { it.call(configVersion().toDouble()) }
-            .register(registry)
-    }
-
-    /** Exposes the configuration version that [version] gives. */
-    fun exposeConfigVersion(version: () -> Long) {
-        GaugeWithCallback.builder().name("pomeloladder_config_version")
-            .help("Configuration version in force")
-            .callback { callback -> callback.call(version().toDouble()) }
-            .register(registry)
     }
 
     override fun observe(durationNanos: Long, events: Int) {
