Eject slow backend servers, hedge late requests, limit retries

Cause: routing counted attempts and not time, so a slow backend server kept its share; a late first token held the caller; every failure was repeated up to three times.

Change: RealRoutePolicy bounds load by expected time from cost tokens and observed ms per token, and counts forwarded work before the owner's next heartbeat. OutlierSystem ejects own servers by first-token time, waiting first tokens, time between tokens and failures, for a doubling time, at most a third of a service's servers; waiting work is routed again. HedgeSystem gives a late request a second attempt within 5% of requests. Retries are limited to 10% of requests. Counts of a server are taken from own attempts when its ownership changes to this process; before, the previous owner's report stayed and could keep the window full for good.

--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/BackendSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/BackendSystem.kt
@@ -68,6 +68,9 @@
             row.queued = load.queued
             row.inFlightCostTokens = load.costTokens
             row.firstTokenMs = load.firstTokenMs.toDouble()
+            row.serviceMsPerCostToken = load.msPerCostToken
+            // The report has one sum; what this process forwarded since is added to it at routing.
+            row.queuedCostTokens = 0
         }
         for (id in heartbeat.leavingServers) world.backends[id]?.isLeavingByPeer = true
     }
@@ -83,7 +86,10 @@
             server.owner = owner
             server.ownedSinceMs = tick.nowMs
             // The previous owner may still have work there, so a new owner starts small.
-            if (owner == world.self.vm) server.windowSize = 1
+            if (owner == world.self.vm) {
+                server.windowSize = 1
+                world.recount(server)
+            }
             val details = mapOf("server" to server.id, "owner" to owner)
             tick.journal.log(LogEvent.OWNER_CHANGED, details)
         }
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/CompletionSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/CompletionSystem.kt
@@ -12,6 +12,7 @@
     private var nextScanMs = 0L
 
     override fun run(world: World, tick: Tick) {
+        tick.each<RequestArrived> { world.retryBudget.earn() }
         tick.each<AttemptFirstToken> { firstToken(world, tick, it.attempt) }
         tick.each<AttemptProgress> { progress(world, it) }
         tick.each<AttemptEnded> { ended(world, tick, it) }
@@ -28,7 +29,7 @@
         val request = world.requests[attempt.spec.id] ?: return
         if (request.winner != null) return
         request.winner = id
-        request.firstTokenAtMs = tick.nowMs
+        if (request.firstTokenAtMs == 0L) request.firstTokenAtMs = tick.nowMs
         cancelOthers(world, tick, request, id)
     }
 
@@ -106,6 +107,12 @@
     request.lastRefusal = refusal
     if (request.attempts.isNotEmpty()) return
     if (retryPolicy.mayRetry(request, refusal, tick.nowMs)) {
+        if (!refusal.isMove && !retryBudget.take()) {
+            tick.journal.count(Counter.RETRIES, "over-budget")
+            requests.remove(request.spec.id)
+            tick.refuse(request.spec.id, refusal)
+            return
+        }
         request.retries += 1
         tick.journal.count(Counter.RETRIES, refusal.reason.code)
         routeQueue.addLast(request.spec.id)
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/DispatchSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/DispatchSystem.kt
@@ -218,3 +218,14 @@
 /** The order that [attempt] runs, when this process is its home. */
 fun World.orderOf(attempt: Attempt): Order? =
     attempt.spec.order?.let { orders[it] }?.takeIf { it.attempt == attempt.id }
+
+/** Replaces the counts that the previous owner of [server] reported by those of this process's own attempts. */
+fun World.recount(server: BackendServer) {
+    val running = attempts.filter { it.place == Place.Dispatched(server.id) }
+    val waiting = queues[server.id]?.waiting().orEmpty()
+    server.inFlight = running.size
+    server.inFlightCostTokens = running.sumOf { it.spec.costTokens }
+    server.inFlightLong = running.count { it.isLongInFlight }
+    server.queued = waiting.size
+    server.queuedCostTokens = waiting.sumOf { it.spec.costTokens }
+}
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Entities.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Entities.kt
@@ -61,6 +61,7 @@
 
     /** Moving averages of own observations; zero until the first one. */
     var firstTokenMs = 0.0
+    var firstTokenMsPerToken = 0.0
     var betweenTokensMs = 0.0
     var serviceMs = 0.0
     var serviceCostTokens = 0.0
@@ -71,6 +72,15 @@
 
     var ejectedUntilMs = 0L
     var ejections = 0
+    var isReturnDue = false
+
+    /** Own observations since the server was last returned to routing. */
+    var observations = 0
+    var failuresInARow = 0
+
+    /** Longest current wait for a first token, as of the last scan. */
+    var pendingMs = 0.0
+    var pendingMsPerToken = 0.0
     var unreachableUntilMs = 0L
     var isLeavingByPeer = false
 
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/MembershipSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/MembershipSystem.kt
@@ -164,4 +164,7 @@
     costTokens = queuedCostTokens + inFlightCostTokens,
     firstTokenMs = firstTokenMs.toInt(),
     isEjected = nowMs < ejectedUntilMs,
+    msPerCostToken = serviceMsPerCostToken,
+    firstTokenMsPerToken = firstTokenMsPerToken,
+    betweenTokensMs = betweenTokensMs,
 )
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Messages.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Messages.kt
@@ -47,6 +47,9 @@
     val costTokens: Long,
     val firstTokenMs: Int,
     val isEjected: Boolean,
+    val msPerCostToken: Double = 0.0,
+    val firstTokenMsPerToken: Double = 0.0,
+    val betweenTokensMs: Double = 0.0,
 )
 
 /** Decayed usage of one heavy subscriber at the sender. */
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Refusal.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Refusal.kt
@@ -31,6 +31,7 @@
     DEADLINE_EXCEEDED("deadline-exceeded"),
     NO_BACKEND("no-backend"),
     NOT_OWNER("not-owner"),
+    EJECTED("ejected"),
     CONFIGURATION_BEHIND("configuration-behind"),
     PAUSED("paused"),
     PEER_UNREACHABLE("peer-unreachable"),
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/RetryPolicy.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/RetryPolicy.kt
@@ -6,6 +6,13 @@
 /** Most attempts of one request after the first. */
 const val MAX_RETRIES = 3
 
+/** Part of requests that may be repeated, so that retries do not multiply an overload. */
+const val RETRY_SHARE = 0.1
+
+/** Whether the attempt only waited at a server that no longer takes work. Nothing was sent, so it costs no budget. */
+val Refusal.isMove: Boolean
+    get() = reason == RefusalReason.EJECTED || reason == RefusalReason.NOT_OWNER
+
 /** Decides on retries. */
 fun interface RetryPolicy {
     fun mayRetry(request: Request, refusal: Refusal, nowMs: Long): Boolean
@@ -22,7 +29,9 @@
     private companion object {
         val RETRIABLE = setOf(
             RefusalReason.QUEUE_FULL,
+            RefusalReason.DEADLINE_UNREACHABLE,
             RefusalReason.NOT_OWNER,
+            RefusalReason.EJECTED,
             RefusalReason.DRAINING,
             RefusalReason.PAUSED,
             RefusalReason.NOT_READY,
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/RoutingSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/RoutingSystem.kt
@@ -32,25 +32,38 @@
     }
 
     private fun route(world: World, tick: Tick, request: Request) {
-        when (val route = policy.route(world, request, tick)) {
-            is Route.Own -> {
-                val attempt = world.newAttempt(tick, request, Place.Queued(route.server))
-                request.triedServers += route.server
-                world.enqueue(tick, attempt, route.server)
-                tick.journal.count(Counter.ROUTES, "own")
-            }
-            is Route.Peer -> {
-                val attempt = world.newAttempt(tick, request, Place.Forwarded(route.vm))
-                route.server?.let { request.triedServers += it }
-                if (route.server == null) request.triedVms += route.vm
-                tick.give(world.forward(tick, attempt, route))
-                tick.journal.count(Counter.ROUTES, if (route.server == null) "domain" else "peer")
-            }
-            is Route.None -> {
-                world.requests.remove(request.spec.id)
-                tick.refuse(request.spec.id, route.refusal)
+        val route = policy.route(world, request, tick)
+        if (route is Route.None) {
+            world.requests.remove(request.spec.id)
+            tick.refuse(request.spec.id, route.refusal)
+            return
+        }
+        world.startRoute(tick, request, route, isHedge = false)
+    }
+}
+
+/** Starts an attempt of [request] on [route]. */
+fun World.startRoute(tick: Tick, request: Request, route: Route, isHedge: Boolean) {
+    when (route) {
+        is Route.Own -> {
+            val attempt = newAttempt(tick, request, Place.Queued(route.server))
+            attempt.isHedge = isHedge
+            request.triedServers += route.server
+            tick.journal.count(Counter.ROUTES, "own")
+            enqueue(tick, attempt, route.server)
+        }
+        is Route.Peer -> {
+            val attempt = newAttempt(tick, request, Place.Forwarded(route.vm))
+            attempt.isHedge = isHedge
+            route.server?.let { server ->
+                request.triedServers += server
+                backends[server]?.expectForwarded(request.spec)
             }
+            if (route.server == null) request.triedVms += route.vm
+            tick.give(forward(tick, attempt, route))
+            tick.journal.count(Counter.ROUTES, if (route.server == null) "domain" else "peer")
         }
+        is Route.None -> Unit
     }
 }
 
@@ -88,3 +101,9 @@
     tick.give(RefuseForward(attempt.id, origin.vm, refusal))
     tick.journal.count(Counter.REFUSALS, refusal.reason.code)
 }
+
+/** Counts forwarded work at once, because the owner's next heartbeat may come after many more decisions. */
+private fun BackendServer.expectForwarded(spec: RequestSpec) {
+    queued += 1
+    inFlightCostTokens += spec.costTokens
+}
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Systems.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Systems.kt
@@ -7,6 +7,8 @@
 class Policies {
     var route: RoutePolicy = RealRoutePolicy()
     var queue: QueuePolicy = QueuePolicy(::FairQueue)
+    var outlier: OutlierPolicy = RealOutlierPolicy()
+    var hedge: HedgePolicy = RealHedgePolicy()
     var owner: OwnerPolicy = RealOwnerPolicy()
 }
 
@@ -24,6 +26,8 @@
     RoutingSystem(policies.route),
     DispatchSystem(policies.queue),
     UsageSystem(),
+    OutlierSystem(policies.outlier),
     CompletionSystem(),
+    HedgeSystem(policies.hedge, policies.route),
     DrainSystem(),
 )
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/World.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/World.kt
@@ -41,6 +41,9 @@
     val routeQueue = ArrayDeque<RequestId>()
     val process = ProcessState()
 
+    /** Limits repeated attempts of this ingress. */
+    val retryBudget = Budget(RETRY_SHARE)
+
     /** The region of this process's failure domain, or null until a configuration lists the domain. */
     val region: RegionId?
         get() = configuration.document?.regionOf(self.domain)
--- /dev/null
+++ b/decisions/src/test/kotlin/org/pomeloladder/decisions/OutlierSystemTest.kt
@@ -0,0 +1,65 @@
+package org.pomeloladder.decisions
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEmpty
+import strikt.assertions.isNotEqualTo
+
+class OutlierSystemTest {
+    private val test = TestWorld().apply {
+        list(listOf(entryVm("norte-1")), List(3) { server("engine-$it", concurrency = 1) })
+    }
+    private val servers = test.world.backends.toList()
+
+    private fun observe(server: BackendServer, msPerToken: Double) {
+        server.firstTokenMsPerToken = msPerToken
+        server.firstTokenMs = msPerToken * 1_000
+        server.observations = 10
+    }
+
+    @Test
+    fun `work that waits for a server that became slow does not stay there`() {
+        val crowd = Array(30) { RequestArrived(request("r$it", budgetMs = 60_000)) }
+        test.tick(*crowd)
+        val slow = servers.first()
+        expectThat(test.world.queues[slow.id]?.waiting().orEmpty()).isNotEmpty()
+        servers.drop(1).forEach { observe(it, 1.0) }
+        observe(slow, 10.0)
+
+        test.advance(500)
+
+        expectThat(test.world.queues[slow.id]?.waiting().orEmpty()).isEmpty()
+        expectThat(test.journal.counts[Counter.EJECTIONS to "first-token"]).isEqualTo(1)
+        expectThat(test.world.requests.toList()).hasSize(30)
+        expectThat(test.world.attempts.filter { it.place is Place.Queued }).all {
+            get { place }.isNotEqualTo(Place.Queued(slow.id))
+        }
+    }
+
+    @Test
+    fun `a second outlier of three is kept, so ejections do not take the domain's capacity`() {
+        servers.forEach { it.failuresInARow = 10 }
+
+        test.advance(500)
+
+        expectThat(servers.filter { it.ejectedUntilMs > test.nowMs }).hasSize(1)
+    }
+
+    @Test
+    fun `a server that is slow again stays out longer`() {
+        val slow = servers.first()
+        slow.failuresInARow = 10
+        test.advance(500)
+        test.advance(EJECTION_MS)
+        expectThat(slow.isAvailable(test.nowMs)).isEqualTo(true)
+        slow.failuresInARow = 10
+        test.advance(500)
+        test.advance(EJECTION_MS)
+
+        expectThat(slow.isAvailable(test.nowMs)).isEqualTo(false)
+    }
+}
