Judge servers by prompt tokens that were not cached, give up lost queues

Cause: a server with a cold cache has a longer first token than the median and could be ejected for it. Work queued at a server that moved to another owner was still dispatched here.

Change: first-token observations are taken at the end of an attempt, when the number of cached tokens is known. A queue whose server has another owner sends its idempotent work back to routing; orders stay with their home. Hedges are looked for every 100 ms, the least interval for scans of a table.

--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/DispatchSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/DispatchSystem.kt
@@ -84,6 +84,7 @@
             }
             return
         }
+        if (server.owner != world.self.vm) giveUp(world, tick, queue)
         while (true) {
             val attempt = queue.poll(world, server) ?: break
             server.queued -= 1
@@ -92,6 +93,13 @@
         }
     }
 
+    /** Another process owns the server now. Orders stay, because their home dispatches to servers it does not own. */
+    private fun giveUp(world: World, tick: Tick, queue: WorkQueue) {
+        for (attempt in queue.waiting().filter { it.spec.order == null }) {
+            world.endQueued(tick, attempt, Refusal(RefusalReason.NOT_OWNER, retryAfterMs = 0))
+        }
+    }
+
     private fun dispatch(world: World, tick: Tick, attempt: Attempt, server: BackendServer) {
         if (!world.mayProcessHere(attempt.spec.subscriber)) {
             world.endUnsent(tick, attempt, Refusal(RefusalReason.RESIDENCY))
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/HedgeSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/HedgeSystem.kt
@@ -6,7 +6,7 @@
 
 /** Part of requests that may be hedged. */
 const val HEDGE_SHARE = 0.05
-private const val HEDGE_SCAN_MS = 50L
+private const val HEDGE_SCAN_MS = 100L
 private const val HEDGE_PERCENTILE = 0.95
 
 /** Observations before the percentile is used. */
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/OutlierSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/OutlierSystem.kt
@@ -30,7 +30,6 @@
             val message = event.message
             if (message is Heartbeat) hear(world, tick, event, message)
         }
-        tick.each<AttemptFirstToken> { firstToken(world, tick, it.attempt) }
         tick.each<AttemptEnded> { ended(world, it) }
         if (tick.nowMs >= nextScanMs) {
             nextScanMs = tick.nowMs + OUTLIER_SCAN_MS
@@ -49,19 +48,22 @@
         }
     }
 
-    private fun firstToken(world: World, tick: Tick, id: AttemptId) {
-        val attempt = world.attempts[id] ?: return
-        val server = world.dispatchedTo(attempt) ?: return
-        val waitMs = (tick.nowMs - attempt.dispatchedMs).toDouble()
+    /** Cached tokens take no time and are known only at the end; without them a cold cache looks like a slow server. */
+    private fun observe(server: BackendServer, attempt: Attempt, cachedTokens: Int) {
+        server.failuresInARow = 0
+        if (attempt.firstTokenMs == 0L) return
+        val waitMs = (attempt.firstTokenMs - attempt.dispatchedMs).toDouble()
+        val freshTokens = maxOf(0, attempt.promptAheadTokens - cachedTokens)
+        val msPerToken = waitMs / (FIRST_TOKEN_BASE_TOKENS + freshTokens)
         server.observations += 1
-        server.firstTokenMsPerToken = average(server.firstTokenMsPerToken, waitMs / units(attempt))
+        server.firstTokenMsPerToken = average(server.firstTokenMsPerToken, msPerToken)
     }
 
     private fun ended(world: World, event: AttemptEnded) {
         val attempt = world.attempts[event.attempt] ?: return
         val server = world.dispatchedTo(attempt) ?: return
         when (val outcome = event.outcome) {
-            is AttemptOutcome.Completed -> server.failuresInARow = 0
+            is AttemptOutcome.Completed -> observe(server, attempt, outcome.cachedTokens)
             is AttemptOutcome.NotSent -> if (outcome.refusal.isFault) server.failuresInARow += 1
             is AttemptOutcome.Failed -> if (outcome.refusal.isFault) server.failuresInARow += 1
             AttemptOutcome.Cancelled -> Unit
--- a/decisions/src/test/kotlin/org/pomeloladder/decisions/OutlierSystemTest.kt
+++ b/decisions/src/test/kotlin/org/pomeloladder/decisions/OutlierSystemTest.kt
@@ -49,6 +49,20 @@
         expectThat(servers.filter { it.ejectedUntilMs > test.nowMs }).hasSize(1)
     }
 
+    @Test
+    fun `a server whose cache is cold is not taken for a slow one`() {
+        servers.drop(1).forEach { observe(it, 1.0) }
+        val long = request("r1", promptTokens = 10_000, budgetMs = 60_000)
+        val start = test.tick(RequestArrived(long)).filterIsInstance<StartAttempt>().single()
+
+        test.advance(10_000)
+        test.tick(AttemptFirstToken(start.attempt))
+        test.tick(AttemptEnded(start.attempt, AttemptOutcome.Completed(outputTokens = 5)))
+        test.advance(500)
+
+        expectThat(test.journal.counts.keys.filter { it.first == Counter.EJECTIONS }).isEmpty()
+    }
+
     @Test
     fun `a server that is slow again stays out longer`() {
         val slow = servers.first()
