--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/DispatchSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/DispatchSystem.kt
@@ -87,6 +87,7 @@
             }
             return
         }
+        if (server.owner != world.self.vm) giveUp(world, tick, queue)
         while (true) {
             val attempt = queue.poll(world, server) ?: break
             server.queued -= 1
@@ -95,6 +96,13 @@
         }
     }
 
+    /** Another process owns the server now. Orders stay, because their home dispatches to servers it does not own. */
+    private fun giveUp(world: World, tick: Tick, queue: WorkQueue) {
+        for (attempt in queue.waiting().filter { it.spec.order == null }) {
+            world.endQueued(tick, attempt, Refusal(RefusalReason.NOT_OWNER, retryAfterMs = 0))
+        }
+    }
+
     private fun dispatch(world: World, tick: Tick, attempt: Attempt, server: BackendServer) {
         if (!world.mayProcessHere(attempt.spec.subscriber)) {
             world.endUnsent(tick, attempt, Refusal(RefusalReason.RESIDENCY))
@@ -221,3 +229,14 @@
     val service = configuration.document?.services?.get(spec.service)
     return if (service is Service.Plain) BackendCall.CALL_SERVICE else BackendCall.SERVE
 }
+
+/** Replaces the counts that the previous owner of [server] reported by those of this process's own attempts. */
+fun World.recount(server: BackendServer) {
+    val running = attempts.filter { it.place == Place.Dispatched(server.id) }
+    val waiting = queues[server.id]?.waiting().orEmpty()
+    server.inFlight = running.size
+    server.inFlightCostTokens = running.sumOf { it.spec.costTokens }
+    server.inFlightLong = running.count { it.isLongInFlight }
+    server.queued = waiting.size
+    server.queuedCostTokens = waiting.sumOf { it.spec.costTokens }
+}
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/MembershipSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/MembershipSystem.kt
@@ -205,4 +205,7 @@
     firstTokenMs = firstTokenMs.toInt(),
     isEjected = nowMs < ejectedUntilMs,
     reportedLoad = reportedLoad,
+    msPerCostToken = serviceMsPerCostToken,
+    firstTokenMsPerToken = firstTokenMsPerToken,
+    betweenTokensMs = betweenTokensMs,
 )
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Messages.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Messages.kt
@@ -48,6 +48,9 @@
     val firstTokenMs: Int,
     val isEjected: Boolean,
     val reportedLoad: Int = 0,
+    val msPerCostToken: Double = 0.0,
+    val firstTokenMsPerToken: Double = 0.0,
+    val betweenTokensMs: Double = 0.0,
 )
 
 /** Decayed usage of one heavy subscriber at the sender. */
