Correct usage only of what was charged

Cause: the end of an order's lookup was corrected as if the lookup had been charged, which lowered the subscriber's usage.

Change: an attempt carries what was charged at dispatch, and only that is corrected.

Conclusion: lookups leave the share of a subscriber as it is; no test yet.

--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/DispatchSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/DispatchSystem.kt
@@ -110,6 +110,7 @@
         server.inFlight += 1
         server.inFlightCostTokens += attempt.spec.costTokens
         server.beginPrompt(attempt)
+        attempt.chargedTokens = attempt.spec.costTokens
         world.charge(attempt.spec.subscriber, attempt.spec.costTokens, tick.nowMs)
         val call = if (attempt.spec.order == null) BackendCall.SERVE else BackendCall.RUN_ORDER
         world.orderOf(attempt)?.state = OrderState.DISPATCHED
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Entities.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Entities.kt
@@ -180,6 +180,9 @@
     /** Prompt tokens that the server had to process until this attempt's first token, its own included. */
     var promptAheadTokens = 0L
     var isPromptPending = false
+
+    /** What the subscriber was charged at dispatch; zero for the lookup of an order, which is not charged. */
+    var chargedTokens = 0L
     var isLongInFlight = false
     var deliveredTokens = 0
 }
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/UsageSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/UsageSystem.kt
@@ -42,14 +42,14 @@
     /** Replaces the estimate charged at dispatch by what the attempt really used. */
     private fun correct(world: World, tick: Tick, event: AttemptEnded) {
         val attempt = world.attempts[event.attempt] ?: return
-        if (attempt.place !is Place.Dispatched) return
+        if (attempt.chargedTokens == 0L) return
         val spec = attempt.spec
         val used = when (val outcome = event.outcome) {
             is AttemptOutcome.Completed -> spec.promptTokens.toLong() + outcome.outputTokens
             is AttemptOutcome.NotSent -> 0
             else -> spec.promptTokens.toLong() + attempt.deliveredTokens
         }
-        world.charge(spec.subscriber, used - spec.costTokens, tick.nowMs)
+        world.charge(spec.subscriber, used - attempt.chargedTokens, tick.nowMs)
     }
 
     private fun scan(world: World, tick: Tick) {
