--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/DispatchSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/DispatchSystem.kt
@@ -113,6 +113,7 @@
         server.inFlight += 1
         server.inFlightCostTokens += attempt.spec.costTokens
         server.beginPrompt(attempt)
+        attempt.chargedTokens = attempt.spec.costTokens
         world.charge(attempt.spec.subscriber, attempt.spec.costTokens, tick.nowMs)
         val call = world.callOf(attempt.spec)
         tick.give(StartAttempt(attempt.id, attempt.spec, server.record, call, attempt.fromToken))
