Order engines to hold the models of the configuration

Cause: engines got no orders, so a model of the configuration was loaded only where it happened to be.

Change: PlacementSystem derives the placement from configuration and server list and gives EnsureModels with the configuration's sequence number. A new owner waits two suspicion timeouts before it orders an engine without fencing. A token bucket limits loads to the failure domain's share of the weight store's rate. The daemon sends PUT /models; the engine stand-in takes it and can check fencing.

--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/BackendClient.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/BackendClient.kt
@@ -7,6 +7,8 @@
 import org.pomeloladder.decisions.AttemptId
 import org.pomeloladder.decisions.AttemptOutcome
 import org.pomeloladder.decisions.BackendCall
+import org.pomeloladder.decisions.EngineOrderOutcome
+import org.pomeloladder.decisions.EnsureModels
 import org.pomeloladder.decisions.Refusal
 import org.pomeloladder.decisions.RequestSpec
 
@@ -62,4 +64,7 @@
 interface BackendClient : AutoCloseable {
     /** Runs [attempt] to its end. Blocks; never throws for what a backend server does. */
     fun call(attempt: BackendAttempt): BackendResult
+
+    /** Sends an engine order and waits for its answer. Never throws for what the engine does. */
+    fun ensureModels(order: EnsureModels): EngineOrderOutcome
 }
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/EngineProtocol.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/EngineProtocol.kt
@@ -46,6 +46,10 @@
 @Serializable
 internal data class EngineTokenDetails(@SerialName("cached_tokens") val cachedTokens: Int = 0)
 
+/** The body of `PUT /models`: the models to hold and the fencing number of the order. */
+@Serializable
+internal data class EngineModels(val models: List<String>, val fencing: Long)
+
 /** The `data` fields of a stream of server-sent events, until the stream ends. */
 internal fun BufferedReader.serverSentEvents(): Sequence<String> =
     lineSequence().filter { it.startsWith(DATA_FIELD) }.map { it.removePrefix(DATA_FIELD).trim() }
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/RealBackendClient.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/RealBackendClient.kt
@@ -10,6 +10,7 @@
 import java.io.InputStream
 import java.util.concurrent.ExecutionException
 import kotlinx.serialization.SerializationException
+import kotlinx.serialization.encodeToString
 import org.eclipse.jetty.client.HttpClient
 import org.http4k.client.DualSyncAsyncHttpHandler
 import org.http4k.client.JettyClient
@@ -20,6 +21,8 @@
 import org.http4k.core.Status
 import org.pomeloladder.decisions.AttemptOutcome
 import org.pomeloladder.decisions.BackendCall
+import org.pomeloladder.decisions.EngineOrderOutcome
+import org.pomeloladder.decisions.EnsureModels
 import org.pomeloladder.decisions.Refusal
 import org.pomeloladder.decisions.RefusalReason
 import org.pomeloladder.decisions.RunState
@@ -56,6 +59,23 @@
         return response.use { read(attempt, it) }
     }
 
+    override fun ensureModels(order: EnsureModels): EngineOrderOutcome {
+        val body = EngineModels(order.models.map { it.value }.sorted(), order.fencing)
+        val request = Request(Method.PUT, "http://${order.server.address}/models")
+            .header("Content-Type", "application/json")
+            .body(daemonJson.encodeToString(body))
+        val status = try {
+            client(request).use { it.status }
+        } catch (_: ExecutionException) {
+            return EngineOrderOutcome.FAILED
+        }
+        return when {
+            status.successful -> EngineOrderOutcome.DONE
+            status == Status.CONFLICT -> EngineOrderOutcome.REFUSED
+            else -> EngineOrderOutcome.FAILED
+        }
+    }
+
     override fun close() = client.close()
 
     private fun request(attempt: BackendAttempt): Request {
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/TrafficPlane.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/TrafficPlane.kt
@@ -14,6 +14,7 @@
 import org.pomeloladder.decisions.Command
 import org.pomeloladder.decisions.CompleteRequest
 import org.pomeloladder.decisions.ControlMessage
+import org.pomeloladder.decisions.EngineOrderEnded
 import org.pomeloladder.decisions.EnsureModels
 import org.pomeloladder.decisions.ForwardArrived
 import org.pomeloladder.decisions.ForwardCancelled
@@ -99,7 +100,7 @@
             is RefuseForward -> refuseForward(command)
             is SendControl -> transport.sendControl(command.to, command.message)
             is WatchPlatform -> platform.watch(command.isWatching, command.after)
-            is EnsureModels -> Unit
+            is EnsureModels -> threads.execute { ensureModels(command) }
             is PublishView -> publish(command.view)
             is StopProcess -> onStop()
         }
@@ -178,6 +179,11 @@
         }
     }
 
+    private fun ensureModels(order: EnsureModels) {
+        val outcome = backendClient.ensureModels(order)
+        events.post(EngineOrderEnded(order.server.id, order.fencing, outcome))
+    }
+
     private fun startForward(command: StartForward) {
         val exchange = callers[command.spec.id]
         if (exchange == null) {
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Event.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Event.kt
@@ -65,6 +65,16 @@
 /** The lookup of an order's attempt gave no answer that can be used, so nothing is known from it. */
 data class OrderLookUpFailed(val attempt: AttemptId, val refusal: Refusal) : Event
 
+/** An engine order with [fencing] ended. */
+data class EngineOrderEnded(
+    val server: BackendServerId,
+    val fencing: Long,
+    val outcome: EngineOrderOutcome,
+) : Event
+
+/** How an engine order ended: carried out, refused for its fencing number, or without a usable answer. */
+enum class EngineOrderOutcome { DONE, REFUSED, FAILED }
+
 /** A control connection to [vm] was opened by either side; both sides have proved the shared key. */
 data class PeerUp(val vm: VmId) : Event
 
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Systems.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Systems.kt
@@ -24,5 +24,6 @@
     RoutingSystem(policies.route),
     DispatchSystem(policies.queue),
     CompletionSystem(),
+    PlacementSystem(),
     DrainSystem(),
 )
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/World.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/World.kt
@@ -35,6 +35,7 @@
     val requests = Table<RequestId, Request>()
     val attempts = Table<AttemptId, Attempt>()
     val orders = Table<OrderKey, Order>()
+    val placements = Table<BackendServerId, Placement>()
     val orderWindows = Table<BackendServerId, OrderWindow>()
     val queues = Table<BackendServerId, WorkQueue>()
 
--- /dev/null
+++ b/decisions/src/test/kotlin/org/pomeloladder/decisions/PlacementSystemTest.kt
@@ -0,0 +1,70 @@
+package org.pomeloladder.decisions
+
+import org.junit.jupiter.api.Test
+import org.pomeloladder.configuration.BackendServerId
+import org.pomeloladder.configuration.ModelId
+import strikt.api.expectThat
+import strikt.assertions.filterIsInstance
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.single
+
+class PlacementSystemTest {
+    private val engine = BackendServerId("engine-1")
+
+    private fun world(checksFencing: Boolean) = TestWorld().apply {
+        val record = server("engine-1").copy(checksFencing = checksFencing)
+        list(listOf(entryVm("norte-1")), listOf(record))
+    }
+
+    @Test
+    fun `a new owner of an engine without fencing waits, so a paused owner cannot overlap`() {
+        val test = world(checksFencing = false)
+        expectThat(test.advance(UNFENCED_WAIT_MS - 100)).filterIsInstance<EnsureModels>().isEmpty()
+
+        expectThat(test.advance(1_000)).filterIsInstance<EnsureModels>().single()
+            .get { models }.isEqualTo(setOf(ModelId("general-1")))
+    }
+
+    @Test
+    fun `an order that the engine refused is given again, but not before the retry time`() {
+        val test = world(checksFencing = true)
+        val order = test.advance(1_000).filterIsInstance<EnsureModels>().single()
+        test.tick(EngineOrderEnded(engine, order.fencing, EngineOrderOutcome.REFUSED))
+        expectThat(test.advance(ENGINE_ORDER_RETRY_MS - 100))
+            .filterIsInstance<EnsureModels>().isEmpty()
+
+        val again = test.advance(1_000).filterIsInstance<EnsureModels>().single()
+        test.tick(EngineOrderEnded(engine, again.fencing, EngineOrderOutcome.DONE))
+
+        expectThat(test.advance(20_000)).filterIsInstance<EnsureModels>().isEmpty()
+    }
+
+    @Test
+    fun `many engines do not load at once, which would exceed the weight store's rate`() {
+        val servers = (1..40).map { server("engine-$it").copy(checksFencing = true) }
+        val many = testConfiguration().let { configuration ->
+            val service = org.pomeloladder.configuration.Service.LanguageModel(
+                ModelId("general-1"),
+                replicasPerDomain = 40,
+            )
+            configuration.copy(services = configuration.services + (CHAT to service))
+        }
+        val test = TestWorld(configuration = many)
+        test.list(listOf(entryVm("norte-1")), servers)
+
+        val orders = test.advance(20_000).filterIsInstance<EnsureModels>()
+
+        // Two failure domains share 60 loads a minute: 10 in 20 s, and the first at once.
+        expectThat(orders.size).isLessThanOrEqualTo(11)
+    }
+
+    @Test
+    fun `the order of the server list does not change the placement, so two owners agree`() {
+        val servers = (1..5).map { server("engine-$it") }
+        val configuration = testConfiguration()
+        expectThat(configuration.desiredModels(servers.reversed()))
+            .isEqualTo(configuration.desiredModels(servers))
+    }
+}
--- a/standins/src/main/kotlin/org/pomeloladder/standins/EngineStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/EngineStandIn.kt
@@ -44,8 +44,15 @@
 @Serializable
 private data class EngineMessage(val role: String, val content: String)
 
-/** A model engine. */
-class EngineStandIn(private val profile: EngineProfile = EngineProfile(), port: Int = 0) : StandIn {
+@Serializable
+private data class EngineModels(val models: List<String>, val fencing: Long)
+
+/** A model engine. With [checksFencing] it refuses an order that is older than one it has seen. */
+class EngineStandIn(
+    private val profile: EngineProfile = EngineProfile(),
+    port: Int = 0,
+    private val checksFencing: Boolean = false,
+) : StandIn {
     private val listener = LoopbackListener(port, handler())
     private val slots = Semaphore(profile.slots, true)
     private val prefill = Any()
@@ -57,6 +64,13 @@
     private val requests = AtomicInteger()
     private val report = LaggingReport(profile.reportLagMs)
 
+    private val models = HashSet<String>()
+    private var highestFencing = 0L
+
+    /** Models that orders made sure of so far. */
+    val loadedModels: Set<String>
+        get() = synchronized(models) { models.toSet() }
+
     /** Multiplies all times; 10 makes the engine a straggler. */
     @Volatile
     var slowdown = 1.0
@@ -84,6 +98,7 @@
 
     private fun handler() = routes(
         "/v1/chat/completions" bind Method.POST to ::complete,
+        "/models" bind Method.PUT to ::ensure,
         "/load" bind Method.GET to { json("""{"load":${report.current()}}""") },
     )
 
@@ -95,6 +110,14 @@
         return Response(Status.OK).header("Content-Type", "text/event-stream").body(stream)
     }
 
+    private fun ensure(request: Request): Response = synchronized(models) {
+        val order = standInJson.decodeFromString<EngineModels>(request.bodyString())
+        if (checksFencing && order.fencing < highestFencing) return Response(Status.CONFLICT)
+        highestFencing = maxOf(highestFencing, order.fencing)
+        models += order.models
+        json("{}")
+    }
+
     private fun pause(ms: Double) {
         val nanos = (ms * slowdown * NANOS_PER_MS).toLong()
         if (nanos > 0) java.util.concurrent.TimeUnit.NANOSECONDS.sleep(nanos)
