Guard the fresh connection of orders and the calls of plain services

Cause: the test of a kept-alive connection also passed in a trial without the Connection: close header of orders, so it did not guard that rule.

Change: the test's server closes a kept connection when the next request begins. The order service stand-in answers idempotent calls.

--- a/daemon/src/test/kotlin/org/pomeloladder/daemon/RealBackendClientTest.kt
+++ b/daemon/src/test/kotlin/org/pomeloladder/daemon/RealBackendClientTest.kt
@@ -58,8 +58,10 @@
     fun `an order is not lost or repeated on a kept-alive connection that the server closes`() {
         serve { socket ->
             socket.readRequest()
-            // Promises to keep the connection and closes it at once, as a server with a short idle limit does.
+            // Promises to keep the connection and closes it when the next request begins, which is the latest moment
+            // at which an idle limit of the server can strike.
             socket.write("$OK\r\n{}")
+            socket.getInputStream().read()
         }
 
         repeat(REPEATS) {
--- a/standins/src/main/kotlin/org/pomeloladder/standins/OrderServiceStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/OrderServiceStandIn.kt
@@ -15,7 +15,7 @@
 import org.http4k.routing.routes
 import org.pomeloladder.configuration.Address
 
-/** An order service that counts executions by key. */
+/** An order service that counts executions by key. Idempotent calls are answered with their own body. */
 class OrderServiceStandIn(port: Int = 0) : StandIn {
     private val executions = ConcurrentHashMap<String, AtomicInteger>()
     private val listener = LoopbackListener(port, handler())
@@ -44,6 +44,7 @@
     private fun handler() = routes(
         "/orders" bind Method.POST to ::execute,
         "/orders/{key}" bind Method.GET to ::lookUp,
+        "/services/{service}" bind Method.POST to { json(it.bodyString()) },
     )
 
     private fun execute(request: Request): Response {
