--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Systems.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Systems.kt
@@ -30,6 +30,7 @@
     OutlierSystem(policies.outlier),
     CompletionSystem(),
     HedgeSystem(policies.hedge, policies.route),
+    PlacementSystem(),
     DrainSystem(),
     TraceSystem(),
 )
