--- a/bench/src/main/kotlin/org/pomeloladder/bench/Arrivals.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/Arrivals.kt
@@ -9,7 +9,8 @@
 private const val MS_PER_SECOND = 1_000.0
 
 /**
- * Times of Poisson arrivals in milliseconds from the start, below [durationMs]. The rate at time t is [peakPerSecond]
+ * Times of Poisson arrivals in milliseconds from the start, below [durationMs]. The rate at time t
+ * is [peakPerSecond]
  * times [share] of t, which must be from 0 to 1.
  */
 fun poissonArrivals(
--- a/bench/src/main/kotlin/org/pomeloladder/bench/Bench.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/Bench.kt
@@ -17,7 +17,12 @@
     HeavyUserExperiment(),
     ShortBehindLongExperiment(),
     StragglersExperiment(),
+    CrossRegionExperiment(),
+    RegionReturnExperiment(),
     CostExperiment(),
+    ConfigExperiment(),
+    DrainExperiment(),
+    OverheadExperiment(),
     // `slopes` (control cost against the size of the fleet) goes here.
 )
 
--- a/bench/src/main/kotlin/org/pomeloladder/bench/Call.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/Call.kt
@@ -11,8 +11,10 @@
 private const val CHARACTERS_PER_TOKEN = 4
 
 /**
- * A call due [atMs] after the start of its run. Results are kept by [kind]. A call that is not [isMeasured] is load only:
- * the run does not wait for it. [domain] names the failure domain whose entry VMs the caller knows first.
+ * A call due [atMs] after the start of its run. Results are kept by [kind]. A call that is not
+ * [isMeasured] is load only:
+ * the run does not wait for it. [domain] names the failure domain whose entry VMs the caller knows
+ * first.
  */
 data class Call(
     val atMs: Double,
--- a/bench/src/main/kotlin/org/pomeloladder/bench/Cluster.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/Cluster.kt
@@ -9,6 +9,7 @@
 import org.pomeloladder.configuration.BackendServerRecord
 import org.pomeloladder.configuration.Configuration
 import org.pomeloladder.configuration.EntryVmRecord
+import org.pomeloladder.configuration.FailureDomainId
 import org.pomeloladder.configuration.ModelId
 import org.pomeloladder.configuration.Region
 import org.pomeloladder.configuration.Service
@@ -29,23 +30,34 @@
 /** A running deployment. [start] before use; [close] ends its own processes. */
 class Cluster(private val spec: ClusterSpec) : AutoCloseable {
     val platform = PlatformStandIn(configurationOf(spec))
+
+    /** A second platform for the domains that ask for one; set its mode to cut them off. */
+    val separatePlatform = PlatformStandIn(configurationOf(spec))
+
+    /** What the VM lists first said of each domain's backend servers. */
+    val backends = LinkedHashMap<FailureDomainId, List<BackendServerRecord>>()
     val engines = LinkedHashMap<BackendServerId, EngineStandIn>()
     val orderServices = LinkedHashMap<BackendServerId, OrderServiceStandIn>()
     val daemons = LinkedHashMap<VmId, DaemonProcess>()
 
     fun start() {
         platform.start()
+        separatePlatform.start()
         val entryVms = ArrayList<EntryVmRecord>()
         for (domain in spec.domains) {
-            platform.publishBackends(domain.id, startBackends(domain))
+            backends[domain.id] = startBackends(domain).also { records ->
+                platform.publishBackends(domain.id, records)
+                separatePlatform.publishBackends(domain.id, records)
+            }
             entryVms += entryVmsOf(domain)
         }
         platform.publishEntryVms(entryVms)
+        separatePlatform.publishEntryVms(entryVms)
         for (record in entryVms) {
-            val isConnected = spec.domains.first { it.id == record.domain }.reachesPlatform
-            val platformAddress = if (isConnected) platform.address else freeAddress()
+            val isSeparate = spec.domains.first { it.id == record.domain }.hasSeparatePlatform
+            val reads = if (isSeparate) separatePlatform else platform
             daemons[record.id] =
-                DaemonProcess(record, freeAddress(), platformAddress, spec.policies)
+                DaemonProcess(record, freeAddress(), reads.address, spec.policies)
         }
         daemons.values.forEach(DaemonProcess::start)
         daemons.values.forEach(DaemonProcess::awaitReady)
@@ -56,6 +68,7 @@
         engines.values.forEach(EngineStandIn::close)
         orderServices.values.forEach(OrderServiceStandIn::close)
         platform.close()
+        separatePlatform.close()
     }
 
     private fun startBackends(domain: DomainSpec): List<BackendServerRecord> {
--- a/bench/src/main/kotlin/org/pomeloladder/bench/ClusterSpec.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/ClusterSpec.kt
@@ -36,8 +36,8 @@
     var engineProfile = EngineProfile()
     var engineConcurrency = 8
 
-    /** False gives the domain's daemons a platform address where nothing listens. */
-    var reachesPlatform = true
+    /** Whether the domain's daemons read [Cluster.separatePlatform], which can be down for them alone. */
+    var hasSeparatePlatform = false
 }
 
 /** One subscriber, in a group of its own. */
--- a/bench/src/main/kotlin/org/pomeloladder/bench/DaemonProcess.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/DaemonProcess.kt
@@ -4,6 +4,7 @@
 package org.pomeloladder.bench
 
 import java.io.File
+import java.time.Duration
 import java.util.concurrent.TimeUnit
 import org.http4k.client.JettyClient
 import org.http4k.core.Method
@@ -38,6 +39,10 @@
     val isAlive: Boolean
         get() = process?.isAlive == true
 
+    /** Processor time of the process so far. */
+    val cpuTime: Duration
+        get() = checkNotNull(process).info().totalCpuDuration().orElse(Duration.ZERO)
+
     fun start() {
         val settings = File(directory, "settings.yaml").apply { writeText(settingsYaml()) }
         process = ProcessBuilder(
--- a/bench/src/main/kotlin/org/pomeloladder/bench/DisturbanceExperiment.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/DisturbanceExperiment.kt
@@ -9,7 +9,8 @@
 internal class DisturbanceRuns(val quiet: LoadResult, val disturbed: LoadResult, val load: Double)
 
 /**
- * The figure is that of the disturbed run relative to the quiet one. The target is met when it is at most [maxFigure] and
+ * The figure is that of the disturbed run relative to the quiet one. The target is met when it is
+ * at most [maxFigure] and
  * the baseline's figure is at least [minBaselineFactor] times as large.
  */
 internal abstract class DisturbanceExperiment(
@@ -58,7 +59,7 @@
             row("refused or broken without") { it.quiet.losses() },
             row("refused or broken with") { it.disturbed.losses() },
             row("unfinished with") { it.disturbed.unfinished },
-            row("busy engine slots with, share") { it.load },
+            row("busy slots with, share (to the last answer)") { it.load },
         )
     }
 
--- /dev/null
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/DrainExperiment.kt
@@ -0,0 +1,143 @@
+/*
+ * Requests cut off while daemons are restarted one after another under streaming load, and how long
+ * a leaving backend
+ * server still gets new work.
+ */
+package org.pomeloladder.bench
+
+import kotlin.random.Random
+import org.pomeloladder.configuration.VmState
+import org.pomeloladder.standins.EngineProfile
+
+private const val PER_SECOND = 25.0
+private const val LOAD_MS = 22_000L
+private const val LEAVE_AFTER_MS = 2_000L
+private const val RESTART_AFTER_MS = 8_000L
+private const val LEAVE_WATCH_MS = 6_000L
+private const val POLL_MS = 10L
+private const val MAX_LEAVING_MS = 3_000.0
+private const val NANOS_PER_MS = 1_000_000.0
+private const val SUBSCRIBERS = 20
+
+internal class DrainExperiment : Experiment {
+    override val name = "drain"
+    override val summary = "requests cut off by restarts; time until a leaving server is idle"
+    override val target = "0 cut off; at most 3 s"
+
+    override fun run(seed: Long): ExperimentResult {
+        val policy = measure(seed) { check(it.terminate()) { "${it.record.id} did not stop" } }
+        val baseline = measure(seed, DaemonProcess::kill)
+        return ExperimentResult(
+            policy = policy.cutOff,
+            baseline = baseline.cutOff,
+            isMet = policy.cutOff == 0.0 && policy.leavingMs <= MAX_LEAVING_MS,
+            setup = listOf(
+                "1 domain, 4 entry VMs, 4 engines, 20 ms a token; $PER_SECOND req/s for 22 s, " +
+                    "100 prompt and 50 output tokens",
+                "one engine leaves at 2 s; from 8 s on each daemon is stopped and started again",
+                "policy: SIGTERM; baseline: SIGKILL",
+            ),
+            rows = listOf(
+                ReportRow("calls", policy.calls, baseline.calls),
+                ReportRow("of these refused", policy.refused, baseline.refused),
+                ReportRow("last new work of leaving, ms", policy.leavingMs, baseline.leavingMs),
+                ReportRow("daemons restarted under load", policy.restarts, baseline.restarts),
+            ),
+        )
+    }
+
+    private class Measured(
+        val calls: Double,
+        val cutOff: Double,
+        val refused: Double,
+        val leavingMs: Double,
+        val restarts: Double,
+    )
+
+    private fun measure(seed: Long, stop: (DaemonProcess) -> Unit): Measured {
+        val spec = spec()
+        return Cluster(spec).use { cluster ->
+            cluster.start()
+            StreamCaller(DirectorySource { cluster.daemons.values }).use { caller ->
+                warmUp(caller, spec)
+                val operator = Operator(cluster, stop)
+                val thread = Thread(operator, "operator").apply { start() }
+                val result = runLoad(caller, calls(Random(seed))).kind("all")
+                thread.join()
+                Measured(
+                    calls = result.count.toDouble(),
+                    cutOff = (result.count - result.count(CallEnd.WHOLE)).toDouble(),
+                    refused = result.count(CallEnd.REFUSED).toDouble(),
+                    leavingMs = operator.leavingMs,
+                    restarts = operator.restarts.toDouble(),
+                )
+            }
+        }
+    }
+
+    private fun spec() = clusterSpec {
+        domain("norte", "norte-a") {
+            entryVms = 4
+            engines = 4
+            orderServers = 0
+            engineProfile = EngineProfile(decodeMsPerToken = 20.0)
+        }
+        repeat(SUBSCRIBERS) { subscriber("counter-$it", listOf("norte")) }
+    }
+
+    private fun calls(random: Random) =
+        poissonArrivals(random, LOAD_MS, PER_SECOND).mapIndexed { index, at ->
+            val key = "key-counter-${random.nextInt(SUBSCRIBERS)}"
+            Call(at, "all", key, listOf(textOf("question-$index", 100)), maxTokens = 50)
+        }
+}
+
+/**
+ * Takes one engine out of service and then restarts the daemons with [stop], while the load runs.
+ */
+private class Operator(private val cluster: Cluster, private val stop: (DaemonProcess) -> Unit) :
+    Runnable {
+    /** Time from the publication to the last new request of the leaving server. */
+    @Volatile
+    var leavingMs = 0.0
+
+    @Volatile
+    var restarts = 0
+
+    private val startNanos = System.nanoTime()
+
+    override fun run() {
+        sleepUntil(LEAVE_AFTER_MS)
+        leave()
+        sleepUntil(RESTART_AFTER_MS)
+        for (daemon in cluster.daemons.values) {
+            if (elapsedMs() >= LOAD_MS) return
+            stop(daemon)
+            daemon.start()
+            daemon.awaitReady()
+            restarts += 1
+        }
+    }
+
+    private fun leave() {
+        val (domain, records) = cluster.backends.entries.first()
+        val leaving = records.first()
+        val engine = cluster.engines.getValue(leaving.id)
+        val changed = records.map {
+            if (it.id == leaving.id) it.copy(state = VmState.LEAVING) else it
+        }
+        cluster.platform.publishBackends(domain, changed)
+        val publishedNanos = System.nanoTime()
+        var count = engine.requestCount
+        while (System.nanoTime() - publishedNanos < LEAVE_WATCH_MS * NANOS_PER_MS) {
+            Thread.sleep(POLL_MS)
+            if (engine.requestCount == count) continue
+            count = engine.requestCount
+            leavingMs = (System.nanoTime() - publishedNanos) / NANOS_PER_MS
+        }
+    }
+
+    private fun sleepUntil(atMs: Long) = Thread.sleep(maxOf(0, atMs - elapsedMs()))
+
+    private fun elapsedMs() = ((System.nanoTime() - startNanos) / NANOS_PER_MS).toLong()
+}
--- a/bench/src/main/kotlin/org/pomeloladder/bench/Experiment.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/Experiment.kt
@@ -26,7 +26,8 @@
 data class ReportRow(val label: String, val policy: Double?, val baseline: Double?)
 
 /**
- * The outcome. [policy] and [baseline] are the target's figure. [setup] says sizes, rates and speeds; [rows] hold the
+ * The outcome. [policy] and [baseline] are the target's figure. [setup] says sizes, rates and
+ * speeds; [rows] hold the
  * further figures.
  */
 data class ExperimentResult(
--- a/bench/src/main/kotlin/org/pomeloladder/bench/LoadRun.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/LoadRun.kt
@@ -1,5 +1,6 @@
 /*
- * Runs calls open-loop. Latencies count from the time when a call was due, so that waiting before a call is not hidden.
+ * Runs calls open-loop. Latencies count from the time when a call was due, so that waiting before a
+ * call is not hidden.
  */
 package org.pomeloladder.bench
 
@@ -53,13 +54,19 @@
 
     fun count(end: CallEnd): Int = kinds.values.sumOf { it.count(end) }
 
-    /** Measured calls that had not ended when the run gave up waiting; included as refused at that time. */
+    /**
+     * Measured calls that had not ended when the run gave up waiting; included as refused at that
+     * time.
+     */
     @Volatile
     var unfinished = 0
         internal set
 }
 
-/** Runs [calls] with [caller] and returns when all measured ones have ended, or 20 s after the last was due. */
+/**
+ * Runs [calls] with [caller] and returns when all measured ones have ended, or 20 s after the last
+ * was due.
+ */
 fun runLoad(caller: StreamCaller, calls: List<Call>): LoadResult {
     val result = LoadResult()
     val measured = calls.filter { it.isMeasured }
--- a/bench/src/main/kotlin/org/pomeloladder/bench/MetricsClient.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/MetricsClient.kt
@@ -15,6 +15,10 @@
         .filter { it.startsWith("$name{") && "reason=\"$reason\"" in it }
         .sumOf { it.substringAfterLast(' ').toDouble() }
 
+    /** The value of gauge [name], which has no labels; null when the daemon does not answer. */
+    fun gauge(name: String): Double? =
+        lines().firstOrNull { it.startsWith("$name ") }?.substringAfterLast(' ')?.toDouble()
+
     private fun lines() = http(Request(Method.GET, "http://$address/metrics")).bodyString().lines()
 
     private companion object {
--- /dev/null
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/OverheadExperiment.kt
@@ -0,0 +1,97 @@
+/*
+ * What the gateway adds to a call of an engine that answers at once, and what it costs.
+ */
+package org.pomeloladder.bench
+
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
+import org.pomeloladder.configuration.Address
+import org.pomeloladder.standins.EngineProfile
+
+private const val PER_SECOND = 200.0
+private const val PHASE_MS = 15_000L
+private const val WARM_UP_CALLS = 1_000
+private const val MAX_ADDED_MS = 5.0
+private const val P50 = 50.0
+private const val P99 = 99.0
+private const val NANOS_PER_SECOND = 1e9
+
+internal class OverheadExperiment : Experiment {
+    override val name = "overhead"
+    override val summary = "latency added by the gateway with zero stand-in latency; req/s/core"
+    override val target = "p99 at most 5 ms"
+
+    override fun run(seed: Long): ExperimentResult = Cluster(spec()).use { cluster ->
+        cluster.start()
+        val engines = cluster.engines.values.map { it.address }
+        val direct = StreamCaller(rotating(engines)).use { caller ->
+            warmUp(caller, spec(), WARM_UP_CALLS)
+            runLoad(caller, calls(seed)).kind("all")
+        }
+        StreamCaller(DirectorySource { cluster.daemons.values }).use { caller ->
+            warmUp(caller, spec(), WARM_UP_CALLS)
+            val cpuBefore = cpuSeconds(cluster)
+            val gateway = runLoad(caller, calls(seed)).kind("all")
+            report(gateway, direct, cpuSeconds(cluster) - cpuBefore)
+        }
+    }
+
+    private fun report(gateway: KindResult, direct: KindResult, cpuSeconds: Double) =
+        ExperimentResult(
+            policy = gateway.totalMs(P99) - direct.totalMs(P50),
+            baseline = direct.totalMs(P99) - direct.totalMs(P50),
+            isMet = gateway.totalMs(P99) - direct.totalMs(P50) <= MAX_ADDED_MS,
+            setup = listOf(
+                "1 domain, 4 entry VMs (client compiler only), 4 engines without any latency",
+                "$PER_SECOND req/s for 15 s, 20 prompt tokens, 1 output token",
+                "policy: through the gateway; baseline: direct calls of the engines",
+                "the figure is p99 minus the median of the direct calls",
+            ),
+            rows = listOf(
+                ReportRow("p50 total, ms", gateway.totalMs(P50), direct.totalMs(P50)),
+                ReportRow("p99 total, ms", gateway.totalMs(P99), direct.totalMs(P99)),
+                ReportRow(
+                    "calls without a whole answer",
+                    (gateway.count - gateway.count(CallEnd.WHOLE)).toDouble(),
+                    (direct.count - direct.count(CallEnd.WHOLE)).toDouble(),
+                ),
+                ReportRow("daemon cpu seconds", cpuSeconds, null),
+                ReportRow("requests per daemon cpu second", gateway.count / cpuSeconds, null),
+            ),
+        )
+
+    private fun cpuSeconds(cluster: Cluster) =
+        cluster.daemons.values.sumOf { it.cpuTime.toNanos() } / NANOS_PER_SECOND
+
+    private fun rotating(addresses: List<Address>): EntrySource {
+        val next = AtomicInteger()
+        return EntrySource { listOf(addresses[next.getAndIncrement() % addresses.size]) }
+    }
+
+    private fun spec() = clusterSpec {
+        domain("norte", "norte-a") {
+            entryVms = 4
+            engines = 4
+            orderServers = 0
+            engineConcurrency = 64
+            engineProfile = EngineProfile(
+                slots = 64,
+                prefillTokensPerMs = Double.POSITIVE_INFINITY,
+                decodeMsPerToken = 0.0,
+            )
+        }
+        repeat(SUBSCRIBERS) { subscriber("cafe-$it", listOf("norte")) }
+    }
+
+    private fun calls(seed: Long): List<Call> {
+        val random = Random(seed)
+        return poissonArrivals(random, PHASE_MS, PER_SECOND).mapIndexed { index, at ->
+            val key = "key-cafe-${random.nextInt(SUBSCRIBERS)}"
+            Call(at, "all", key, listOf(textOf("question-$index", 20)), maxTokens = 1)
+        }
+    }
+
+    private companion object {
+        const val SUBSCRIBERS = 40
+    }
+}
--- a/bench/src/main/kotlin/org/pomeloladder/bench/StreamCaller.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/StreamCaller.kt
@@ -62,7 +62,10 @@
         val first = daemons().sortedByDescending { it.record.domain.value == call.domain }
             .map { it.record.callerAddress }
         val addresses = (known[key]?.addresses.orEmpty() + first).distinct()
-            .firstNotNullOfOrNull { directoryOf(it, call.apiKey) } ?: first
+            .firstNotNullOfOrNull { directoryOf(it, call.apiKey) }
+            .orEmpty()
+            .plus(first)
+            .distinct()
         known[key] = Known(addresses, now)
         return addresses
     }
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/LoadReader.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/LoadReader.kt
@@ -19,7 +19,9 @@
 @Serializable
 private data class LoadAnswer(val load: Int)
 
-/** Polls `GET /load` of the servers that [owned] lists; asks nothing while the process owns none. */
+/**
+ * Polls `GET /load` of the servers that [owned] lists; asks nothing while the process owns none.
+ */
 class LoadReader(
     private val owned: () -> List<BackendServerRecord>,
     private val events: EventSink,
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/PolicyChoice.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/PolicyChoice.kt
@@ -10,7 +10,9 @@
 import org.pomeloladder.decisions.RandomRoutePolicy
 import org.pomeloladder.decisions.policies
 
-/** The policies that [names] ask for. Names without an entry here take the default of production. */
+/**
+ * The policies that [names] ask for. Names without an entry here take the default of production.
+ */
 internal fun chosenPolicies(names: PolicyNames): Policies = policies {
     when (names.route) {
         "random" -> route = RandomRoutePolicy()
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/LeastReportedLoadRoutePolicy.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/LeastReportedLoadRoutePolicy.kt
@@ -5,7 +5,10 @@
 
 import org.pomeloladder.configuration.BackendServerId
 
-/** Chooses the server with the least reported load, at random among equals; another domain when the own has none. */
+/**
+ * Chooses the server with the least reported load, at random among equals; another domain when the
+ * own has none.
+ */
 class LeastReportedLoadRoutePolicy : RoutePolicy {
     override fun route(world: World, request: Request, tick: Tick): Route {
         val server = least(world.untriedServers(request, tick.nowMs), tick)
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/RandomRoutePolicy.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/RandomRoutePolicy.kt
@@ -1,12 +1,16 @@
 /*
- * Random routing: the baseline that knows neither load nor prefixes nor regions, other than what residency forbids.
+ * Random routing: the baseline that knows neither load nor prefixes nor regions, other than what
+ * residency forbids.
  */
 package org.pomeloladder.decisions
 
 import org.pomeloladder.configuration.BackendServerId
 import org.pomeloladder.configuration.VmState
 
-/** Chooses a random entry VM of the allowed regions, and a random server when that VM is in the own failure domain. */
+/**
+ * Chooses a random entry VM of the allowed regions, and a random server when that VM is in the own
+ * failure domain.
+ */
 class RandomRoutePolicy : RoutePolicy {
     override fun route(world: World, request: Request, tick: Tick): Route {
         val own = world.untriedServers(request, tick.nowMs)
@@ -24,7 +28,10 @@
         world.placeAtOwned(attempt, tick) { it.randomOrNull(tick.random) }
 }
 
-/** Available servers of the own domain that [request] has not tried; none when it may not be processed here. */
+/**
+ * Available servers of the own domain that [request] has not tried; none when it may not be
+ * processed here.
+ */
 internal fun World.untriedServers(request: Request, nowMs: Long): List<BackendServer> {
     if (!mayProcessHere(request.spec.subscriber)) return emptyList()
     return availableServers(request.spec.service, nowMs)
