--- a/bench/src/main/kotlin/org/pomeloladder/bench/Cluster.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/Cluster.kt
@@ -29,6 +29,12 @@
 /** A running deployment. [start] before use; [close] ends its own processes. */
 class Cluster(private val spec: ClusterSpec) : AutoCloseable {
     val platform = PlatformStandIn(configurationOf(spec))
+
+    /** A second platform for the domains that ask for one; set its mode to cut them off. */
+    val separatePlatform = PlatformStandIn(configurationOf(spec))
+
+    /** What the VM lists first said of each domain's backend servers. */
+    val backends = LinkedHashMap<FailureDomainId, List<BackendServerRecord>>()
     val engines = LinkedHashMap<BackendServerId, EngineStandIn>()
     val orderServices = LinkedHashMap<BackendServerId, OrderServiceStandIn>()
     val daemons = LinkedHashMap<VmId, DaemonProcess>()
@@ -40,13 +46,18 @@
 
     fun start() {
         platform.start()
+        separatePlatform.start()
         val entryVms = ArrayList<EntryVmRecord>()
         for (domain in spec.domains) {
-            platform.publishBackends(domain.id, startBackends(domain))
+            backends[domain.id] = startBackends(domain).also { records ->
+                platform.publishBackends(domain.id, records)
+                separatePlatform.publishBackends(domain.id, records)
+            }
             entryVms += entryVmsOf(domain)
         }
         val published = entryVms.map { it.published() }
         platform.publishEntryVms(published)
+        separatePlatform.publishEntryVms(published)
         val seeds = seedsOf(published)
         for (record in entryVms) {
             val address = platformAddressOf(record)
@@ -66,6 +77,7 @@
         orderServices.values.forEach(OrderServiceStandIn::close)
         platform.close()
         faults?.close()
+        separatePlatform.close()
     }
 
     /** Two VMs of each domain, so that a fresh VM finds a peer while one VM of a domain is down. */
@@ -76,8 +88,8 @@
         .map { it.peerAddress }
 
     private fun platformAddressOf(record: EntryVmRecord): Address {
-        val isConnected = spec.domains.first { it.id == record.domain }.reachesPlatform
-        if (!isConnected) return freeAddress()
+        val isSeparate = spec.domains.first { it.id == record.domain }.hasSeparatePlatform
+        if (isSeparate) return separatePlatform.address
         return faults?.platform(record.domain, platform.address) ?: platform.address
     }
 
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/RetryPolicy.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/RetryPolicy.kt
@@ -9,9 +9,23 @@
 /** Part of requests that may be repeated, so that retries do not multiply an overload. */
 const val RETRY_SHARE = 0.1
 
-/** Whether the attempt only waited at a server that no longer takes work. Nothing was sent, so it costs no budget. */
+/** Reasons by which the place of an attempt was lost, and not the work judged too much. */
+private val MOVES = setOf(
+    RefusalReason.EJECTED,
+    RefusalReason.NOT_OWNER,
+    RefusalReason.DRAINING,
+    RefusalReason.PAUSED,
+    RefusalReason.PEER_UNREACHABLE,
+    RefusalReason.BACKEND_UNREACHABLE,
+    RefusalReason.CONNECTION_LOST,
+)
+
+/**
+ * Whether the attempt has to move because its place was lost. Such a retry replaces load that is gone and costs no
+ * budget: after an entry VM was killed, a budget of 10% left half of its streams broken.
+ */
 val Refusal.isMove: Boolean
-    get() = reason == RefusalReason.EJECTED || reason == RefusalReason.NOT_OWNER
+    get() = reason in MOVES
 
 /** Decides on retries. */
 fun interface RetryPolicy {
--- a/standins/src/main/kotlin/org/pomeloladder/standins/EngineStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/EngineStandIn.kt
@@ -118,8 +118,6 @@
         return Response(Status.OK).header("Content-Type", "text/event-stream").body(stream)
     }
 
-<<<<<<< HEAD
-=======
     private fun ensure(request: Request): Response = synchronized(models) {
         val order = standInJson.decodeFromString<EngineModels>(request.bodyString())
         if (checksFencing && order.fencing < highestFencing) return Response(Status.CONFLICT)
@@ -128,30 +126,6 @@
         json("{}")
     }
 
-    private fun pause(ms: Double) {
-        val nanos = (ms * slowdown * NANOS_PER_MS).toLong()
-        if (nanos > 0) java.util.concurrent.TimeUnit.NANOSECONDS.sleep(nanos)
-    }
-
-    /** Prompt processing is serial, as in an engine whose prefill fills the accelerator. */
-    private fun process(body: EngineRequest): Int = synchronized(prefill) {
-        val text = body.messages.joinToString("\n") { it.content }
-        val promptTokens = text.length / CHARACTERS_PER_TOKEN + 1
-        val cached = minOf(cache.match(text) / CHARACTERS_PER_TOKEN, promptTokens)
-        cache.add(text)
-        val fresh = promptTokens - cached
-        prefilledTokens.addAndGet(fresh.toLong())
-        cachedTokens.addAndGet(cached.toLong())
-        pause(fresh / profile.prefillTokensPerMs)
-        cached
-    }
-
-    private fun changeLoad(change: Int, of: AtomicInteger) {
-        of.addAndGet(change)
-        report.record(running.get() + waiting.get())
-    }
-
->>>>>>> orders
     private inner class AnswerStream(private val body: EngineRequest, private var token: Int) :
         InputStream() {
         private val text = body.messages.joinToString("\n") { it.content }
