--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/Daemon.kt
@@ -54,7 +54,7 @@
         peerAddress = settings.peers,
     )
     private val scheduler = Scheduler(
-        World(self),
+        World(self).apply { process.isStartConfirmed = false },
         systems(policies),
         Random(incarnation.value xor settings.vm.hashCode().toLong()),
         journal,
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/ConfigurationSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/ConfigurationSystem.kt
@@ -27,6 +27,8 @@
     private var nextAskMs = Long.MIN_VALUE
     private var watchedAfter: ConfigSequence? = null
 
+    private var wasConfirmed = true
+
     override fun run(world: World, tick: Tick) {
         val before = world.configuration.position
         tick.each<ConfigRead> { take(world, tick, it.snapshot, it.entries, from = null) }
@@ -43,8 +45,12 @@
         tick.each<PlatformHealth> { noteHealth(world, tick, it.isReachable) }
         watch(world, tick)
         askWhileBehind(world, tick)
-        if (world.configuration.position != before) {
-            world.configuration.inForceSinceMs = tick.nowMs
+        val isConfirmed = world.process.isStartConfirmed
+        if (world.configuration.position != before || isConfirmed != wasConfirmed) {
+            wasConfirmed = isConfirmed
+            if (world.configuration.position != before) {
+                world.configuration.inForceSinceMs = tick.nowMs
+            }
             tick.give(PublishView(world.trafficView()))
         }
     }
@@ -173,11 +179,12 @@
 
     private fun askWhileBehind(world: World, tick: Tick) {
         val state = world.configuration
-        if (state.snapshot != null && !state.isBehind) return
+        val isConfirmed = world.process.isStartConfirmed
+        if (state.snapshot != null && !state.isBehind && isConfirmed) return
         if (tick.nowMs >= nextAskMs) {
             nextAskMs = tick.nowMs + CONFIG_ASK_INTERVAL_MS
-            val ask = ConfigAsk(state.snapshot?.sequence)
-            if (state.snapshot == null) {
+            val ask = ConfigAsk(state.snapshot?.sequence, world.process.holdNonce)
+            if (state.snapshot == null || !isConfirmed) {
                 val process = world.process
                 val lists = VmListAsk(process.entryListRevision, process.serverListRevision)
                 tick.give(SendToSeeds(ask))
@@ -226,6 +233,6 @@
 fun World.trafficView() = TrafficView(
     snapshot = configuration.snapshot,
     peerAddresses = entryVms.associate { it.id to it.record.peerAddress },
-    isReady = configuration.snapshot != null && !process.isDraining,
+    isReady = configuration.snapshot != null && process.isStartConfirmed && !process.isDraining,
     isDraining = process.isDraining,
 )
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/PauseSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/PauseSystem.kt
@@ -10,13 +10,21 @@
 /** How long a process waits for a fresh position after a pause before it goes on with what it has. */
 const val PAUSE_HOLD_MS = 1_000L
 
+/** How long a process with a configuration waits after its start for a peer to confirm it. */
+const val START_HOLD_MS = 2_000L
+
 /** Holds dispatch after a pause and forgets what was known of peers. */
 class PauseSystem : TickSystem {
     private var lastTickMs: Long? = null
+    private var confirmUntilMs: Long? = null
 
     override fun run(world: World, tick: Tick) {
         val last = lastTickMs
         lastTickMs = tick.nowMs
+        if (!world.process.isStartConfirmed) {
+            confirmStart(world, tick)
+            return
+        }
         if (last == null || tick.nowMs - last < PAUSE_THRESHOLD_MS) {
             endHold(world, tick)
             return
@@ -36,9 +44,8 @@
      * Messages that waited in the inbox during the pause prove nothing, so only the answer to this question counts.
      */
     private fun askPeers(world: World, tick: Tick) {
-        val nonce = tick.random.nextLong(1, Long.MAX_VALUE)
-        world.process.pauseNonce = nonce
-        val ask = ConfigAsk(world.configuration.snapshot?.sequence, nonce)
+        world.process.holdNonce = tick.random.nextLong(1, Long.MAX_VALUE)
+        val ask = ConfigAsk(world.configuration.snapshot?.sequence, world.process.holdNonce)
         for (vm in world.entryVms) {
             val isPeer = vm.id != world.self.vm && vm.record.domain == world.self.domain
             if (isPeer) tick.give(SendControl(vm.id, ask))
@@ -46,13 +53,28 @@
     }
 
     private fun endHold(world: World, tick: Tick) {
-        val nonce = world.process.pauseNonce
-        if (nonce == 0L) return
-        val isAnswered = tick.events.any { event ->
-            ((event as? PeerControl)?.message as? ConfigEntries)?.nonce == nonce
+        if (world.process.holdNonce == 0L) return
+        if (isAnswered(world, tick)) world.process.heldUntilMs = tick.nowMs
+        if (tick.nowMs >= world.process.heldUntilMs) world.process.holdNonce = 0
+    }
+
+    /** `ConfigurationSystem` asks; here the answer, or the time without one, ends the hold. */
+    private fun confirmStart(world: World, tick: Tick) {
+        val process = world.process
+        if (process.holdNonce == 0L) process.holdNonce = tick.random.nextLong(1, Long.MAX_VALUE)
+        if (world.configuration.snapshot == null && !isAnswered(world, tick)) return
+        val until = confirmUntilMs ?: (tick.nowMs + START_HOLD_MS).also { confirmUntilMs = it }
+        if (isAnswered(world, tick) || tick.nowMs >= until) {
+            process.isStartConfirmed = true
+            process.holdNonce = 0
+        } else {
+            tick.wakeAt(until)
         }
-        if (isAnswered) world.process.heldUntilMs = tick.nowMs
-        if (tick.nowMs >= world.process.heldUntilMs) world.process.pauseNonce = 0
+    }
+
+    private fun isAnswered(world: World, tick: Tick) = tick.events.any { event ->
+        val answer = (event as? PeerControl)?.message as? ConfigEntries
+        answer != null && answer.nonce == world.process.holdNonce
     }
 }
 
@@ -60,7 +82,8 @@
 fun World.isPaused(nowMs: Long): Boolean = nowMs < process.heldUntilMs
 
 /**
- * Whether nothing may be forwarded or dispatched at [nowMs]: after a pause, or while a newer configuration is known to
+ * Whether nothing may be forwarded or dispatched at [nowMs]: before the start is confirmed, after a pause, or while a newer configuration is known to
  * exist, whose residency rules may be stricter than the own ones.
  */
-fun World.isHeld(nowMs: Long): Boolean = isPaused(nowMs) || configuration.isBehind
+fun World.isHeld(nowMs: Long): Boolean =
+    !process.isStartConfirmed || isPaused(nowMs) || configuration.isBehind
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/RoutingSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/RoutingSystem.kt
@@ -29,6 +29,7 @@
             return
         }
         val reason = when {
+            !world.process.isStartConfirmed -> RefusalReason.NOT_READY
             world.isPaused(tick.nowMs) -> RefusalReason.PAUSED
             world.configuration.isBehind -> RefusalReason.CONFIGURATION_BEHIND
             else -> RefusalReason.NOT_OWNER
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/SummarySystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/SummarySystem.kt
@@ -23,8 +23,8 @@
 /** A change is repeated in this many summaries, because a summary may be lost. */
 private const val CHANGE_REPEATS = 3
 
-/** Every so many summaries the list of serving VMs is sent although it did not change. */
-private const val VMS_EVERY = 8L
+/** Every so many turns of both reporters the list of serving VMs is sent although it did not change. */
+private const val VMS_EVERY = 4L
 
 /** Most summaries with content that are passed on in one message, so that its size stays bounded. */
 private const val MAX_PASSED_ON = 6
@@ -33,6 +33,10 @@
 class SummarySystem : TickSystem {
     private var nextSendMs = Long.MIN_VALUE
     private var round = 0L
+
+    /** Lasts two rounds, because a reporter sends to one domain in every other round only. */
+    private val turn: Long
+        get() = round / REPORTERS_PER_DOMAIN
     private var sequence = Long.MIN_VALUE
     private val sent = HashMap<ServiceId, SentLoad>()
     private var sentVms: Set<VmId> = emptySet()
@@ -71,6 +75,8 @@
                 continue
             }
             val row = world.domains.getOrPut(summary.domain) { FailureDomain(summary.domain) }
+            // What the own domain passes on was received within the last second, over a link that is up both ways.
+            if (isFromOwnDomain) row.hear(tick.nowMs, hearsUs = true)
             if (summary.sequence <= row.sequence) continue
             row.take(summary)
             row.hear(tick.nowMs, isFromOwnDomain || message.hearsReceiver)
@@ -150,7 +156,7 @@
             sentVms = vms
             vmRepeats = CHANGE_REPEATS
         }
-        val sendsVms = vmRepeats-- > 0 || round % VMS_EVERY == 0L
+        val sendsVms = vmRepeats-- > 0 || turn % VMS_EVERY == 0L
         return DomainSummary(
             domain = world.self.domain,
             sequence = sequence,
@@ -169,7 +175,7 @@
             val row = sent.getOrPut(service) { SentLoad(ServiceLoad(service), 0) }
             if (row.load != load) row.repeats = CHANGE_REPEATS
             row.load = load
-            val isOwnTurn = round % services.size == at.toLong()
+            val isOwnTurn = turn % services.size == at.toLong()
             row.repeats-- > 0 || isOwnTurn
         }.map { sent.getValue(it).load }
     }
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/World.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/World.kt
@@ -94,7 +94,13 @@
     var entryList: EntryVmList? = null
     var serverList: BackendServerList? = null
 
-    /** Named in the question that a peer has to answer before the hold after a pause ends; zero outside a hold. */
-    var pauseNonce = 0L
+    /** Named in the question that a peer has to answer before a hold ends early; zero outside a hold. */
+    var holdNonce = 0L
+
+    /**
+     * False from the start of a process until a peer confirmed its position or did not answer in time: the platform may
+     * be stale, and a restarted process must not serve by a configuration that its peers have left behind.
+     */
+    var isStartConfirmed = true
     var nextAttempt = 0L
 }
--- a/decisions/src/test/kotlin/org/pomeloladder/decisions/TestWorld.kt
+++ b/decisions/src/test/kotlin/org/pomeloladder/decisions/TestWorld.kt
@@ -36,24 +36,24 @@
 
 private val ANYWHERE = Address("127.0.0.1", 1)
 
-/** The process `norte-1` of failure domain norte-a. */
+/** One process, by default `norte-1` of failure domain norte-a. Without [configuration] it starts with none. */
 internal class TestWorld(
     policies: Policies = policies(),
     vm: String = "norte-1",
-    configuration: Configuration = testConfiguration(),
+    configuration: Configuration? = testConfiguration(),
+    domain: FailureDomainId = NORTE,
+    atMs: Long = 0,
 ) {
-    val world = World(Self(VmId(vm), Incarnation(1), NORTE, ANYWHERE, ANYWHERE))
+    val world = World(Self(VmId(vm), Incarnation(1), domain, ANYWHERE, ANYWHERE))
     val journal = CollectingJournal()
     private val scheduler = Scheduler(world, systems(policies), Random(1), journal)
-    var nowMs = 0L
+    var nowMs = atMs
 
     init {
-        tick(
-            ConfigRead(
-                ConfigSnapshot(ConfigSequence(1), ConfigVersion(1), configuration),
-                emptyList(),
-            ),
-        )
+        if (configuration != null) {
+            val snapshot = ConfigSnapshot(ConfigSequence(1), ConfigVersion(1), configuration)
+            tick(ConfigRead(snapshot, emptyList()))
+        }
     }
 
     /** Runs one tick and returns its commands. */
