--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/Daemon.kt
@@ -57,7 +57,7 @@
         peerAddress = settings.peers,
     )
     private val scheduler = Scheduler(
-        World(self),
+        World(self).apply { process.isStartConfirmed = false },
         systems(policies),
         Random(incarnation.value xor settings.vm.hashCode().toLong()),
         journal,
