Test the fault proxy itself

Cause: the failure tests rest on a proxy that no test checked. Change: tests of passing, holding and cutting. Conclusion: a held stream arrives whole and a cut one is closed, as the failure tests assume.

--- /dev/null
+++ b/standins/src/test/kotlin/org/pomeloladder/standins/FaultProxyTest.kt
@@ -0,0 +1,81 @@
+package org.pomeloladder.standins
+
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.net.SocketTimeoutException
+import kotlin.concurrent.thread
+import org.junit.jupiter.api.Test
+import org.pomeloladder.configuration.Address
+import strikt.api.expectThat
+import strikt.api.expectThrows
+import strikt.assertions.isEqualTo
+
+private const val SHORT_WAIT_MS = 300
+private const val LONG_WAIT_MS = 20_000
+
+class FaultProxyTest {
+    @Test
+    fun `without a fault bytes pass both ways, so that failures come from faults alone`() =
+        withEcho { _, client ->
+            expectThat(client.exchange("a")).isEqualTo("a")
+        }
+
+    @Test
+    fun `held bytes arrive late and whole, as from a network that delivers after a stall`() =
+        withEcho { proxy, client ->
+            proxy.inject(Fault.Hold(setOf(Direction.TO_TARGET)))
+            expectThrows<SocketTimeoutException> { client.exchange("b", SHORT_WAIT_MS) }
+
+            proxy.heal()
+
+            expectThat(client.receive()).isEqualTo("b")
+        }
+
+    @Test
+    fun `a connection that lost bytes is closed at the end of a cut, so no stream has a gap`() =
+        withEcho { proxy, client ->
+            proxy.inject(Fault.Cut(setOf(Direction.TO_SOURCE)))
+            expectThrows<SocketTimeoutException> { client.exchange("c", SHORT_WAIT_MS) }
+
+            proxy.heal()
+
+            expectThat(runCatching { client.receive() }.getOrElse { "" }).isEqualTo("")
+        }
+
+    /** Runs [test] with a proxy before a server that returns what it reads. */
+    private fun withEcho(test: (FaultProxy, Socket) -> Unit) {
+        val server = ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))
+        thread(isDaemon = true) { echo(server) }
+        FaultProxy(Address("127.0.0.1", server.localPort)).use { proxy ->
+            proxy.start()
+            Socket(proxy.address.host, proxy.address.port).use { client ->
+                expectThat(client.exchange("open")).isEqualTo("open")
+                test(proxy, client)
+            }
+        }
+        server.close()
+    }
+
+    private fun echo(server: ServerSocket) {
+        try {
+            server.accept().use { it.getInputStream().transferTo(it.getOutputStream()) }
+        } catch (_: IOException) {
+            // The test is over.
+        }
+    }
+
+    private fun Socket.exchange(text: String, waitMs: Int = LONG_WAIT_MS): String {
+        getOutputStream().write(text.toByteArray())
+        return receive(waitMs)
+    }
+
+    /** What arrives next; empty at the end of the stream. */
+    private fun Socket.receive(waitMs: Int = LONG_WAIT_MS): String {
+        soTimeout = waitMs
+        val buffer = ByteArray(64)
+        val count = getInputStream().read(buffer)
+        return if (count < 0) "" else String(buffer, 0, count)
+    }
+}
