Keep slow callers from holding up engines and other answers

Cause: a part for a caller that does not read waited up to 30 s on the thread that reads the peer connection, and held every other answer on it; a forward frame delivered twice took over the way back of the first. Change: parts are queued without waiting, as an answer is bounded by its output tokens; a second frame of a known attempt is ignored.

--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/AnswerSink.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/AnswerSink.kt
@@ -16,7 +16,7 @@
     /** Text that was delivered before a resumed attempt started. */
     val deliveredText: String
 
-    /** Takes [part], waiting while the receiver is slow. Returns false when the attempt should stop. */
+    /** Takes [part]. Returns false when the attempt should stop. */
     fun part(attempt: AttemptId, part: AnswerPart): Boolean
 
     /** The attempt ended after it was sent to a backend server. */
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/CallerExchange.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/CallerExchange.kt
@@ -17,10 +17,6 @@
 import org.pomeloladder.decisions.RunState
 import org.pomeloladder.peer.AnswerPart
 
-/** Parts that may wait for a slow caller before its attempt is stopped. */
-private const val MAX_WAITING_PARTS = 4_096
-private const val SLOW_CALLER_TIMEOUT_MS = 30_000L
-
 /** Tokens between two progress events to the control thread. */
 private const val PROGRESS_TOKENS = 64
 
@@ -39,7 +35,9 @@
     override val payload: ByteArray,
     private val events: EventSink,
 ) : AnswerSink {
-    private val items = LinkedBlockingQueue<ExchangeItem>(MAX_WAITING_PARTS)
+    // Unbounded, because an answer is bounded by its output tokens. Waiting for a slow caller here would hold its engine's
+    // slot, and the answers of other callers on the same peer connection.
+    private val items = LinkedBlockingQueue<ExchangeItem>()
     private val lock = Any()
     private val text = StringBuilder()
     private var winner: AttemptId? = null
@@ -50,15 +48,17 @@
         get() = synchronized(lock) { text.toString() }
 
     override fun part(attempt: AttemptId, part: AnswerPart): Boolean {
-        val accepted = synchronized(lock) { accept(attempt, part) }
-        if (accepted != Acceptance.NEW) return accepted == Acceptance.KNOWN
-        val isTaken = items.offer(
-            ExchangeItem.Part(part),
-            SLOW_CALLER_TIMEOUT_MS,
-            TimeUnit.MILLISECONDS,
-        )
-        if (isTaken) report(attempt, part)
-        return isTaken
+        val accepted = synchronized(lock) {
+            accept(attempt, part).also {
+                if (it ==
+                    Acceptance.NEW
+                ) {
+                    items.add(ExchangeItem.Part(part))
+                }
+            }
+        }
+        if (accepted == Acceptance.NEW) report(attempt, part)
+        return accepted != Acceptance.REFUSED
     }
 
     override fun ended(attempt: AttemptId, outcome: AttemptOutcome) {
@@ -99,8 +99,7 @@
 
     private fun finish(item: ExchangeItem) {
         synchronized(lock) { isClosed = true }
-        // A full queue means that the caller no longer reads; it finds the end by its own timeout.
-        items.offer(item)
+        items.add(item)
     }
 
     private fun accept(attempt: AttemptId, part: AnswerPart): Acceptance {
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/TrafficPlane.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/TrafficPlane.kt
@@ -227,7 +227,8 @@
     }
 
     private fun arrive(from: VmId, frame: ForwardFrame, replies: ReplyLink) {
-        arrived[frame.attempt] = PeerExchange(frame, replies, events)
+        // A frame that the network delivers twice must not take the answer away from the first one's connection.
+        if (arrived.putIfAbsent(frame.attempt, PeerExchange(frame, replies, events)) != null) return
         events.post(ForwardArrived(from, frame.attempt, frame.spec, frame.wanted, frame.fromToken))
     }
 
