Answer lookups and withdrawals of orders while draining

Cause: a draining process refused every call, also those that begin no work, so a caller could not learn what became of its order. Change: admission refuses only new work while draining. AdmissionSystemTest guards lookup and withdrawal at a draining home. Conclusion: a drain no longer hides the outcome of an order from its caller.

--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/AdmissionSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/AdmissionSystem.kt
@@ -71,7 +71,9 @@
         configuration.noteSeen(spec.sequence)
         return Refusal(RefusalReason.CONFIGURATION_BEHIND, retryAfterMs = 500)
     }
-    if (process.isDraining) return Refusal(RefusalReason.DRAINING, retryAfterMs = 0)
+    if (process.isDraining && spec.isNewWork) {
+        return Refusal(RefusalReason.DRAINING, retryAfterMs = 0)
+    }
     return document.refusalOf(spec)
 }
 
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/RequestSpec.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/RequestSpec.kt
@@ -31,6 +31,10 @@
     /** Expected work in tokens, the unit of fair sharing. */
     val costTokens: Long
         get() = promptTokens.toLong() + maxOutputTokens
+
+    /** Whether this asks for work to be begun. Lookups and withdrawals of orders begin none. */
+    val isNewWork: Boolean
+        get() = order == null || orderCall == OrderCall.RUN
 }
 
 /** What a caller wants of an order key. */
--- a/decisions/src/test/kotlin/org/pomeloladder/decisions/AdmissionSystemTest.kt
+++ b/decisions/src/test/kotlin/org/pomeloladder/decisions/AdmissionSystemTest.kt
@@ -33,4 +33,21 @@
         expectThat(commands).filterIsInstance<StartAttempt>().single()
             .get { call }.isEqualTo(BackendCall.CALL_SERVICE)
     }
+
+    @Test
+    fun `a draining process does not refuse lookups and withdrawals, which begin no work`() {
+        val test = TestWorld()
+        test.list(listOf(entryVm("norte-1")), listOf(server("orders-1", ORDERS)))
+        test.tick(DrainAsked)
+        val spec = request("r1", order = OrderKey(test.world.ownHomeToken(), "ref"))
+
+        val lookUp = test.tick(RequestArrived(spec.copy(orderCall = OrderCall.LOOK_UP)))
+        val withdrawal = spec.copy(id = RequestId("r2"), orderCall = OrderCall.WITHDRAW)
+        val withdrawn = test.tick(RequestArrived(withdrawal))
+
+        expectThat(lookUp).filterIsInstance<StartAttempt>().single()
+            .get { call }.isEqualTo(BackendCall.LOOK_UP_ORDER)
+        expectThat(withdrawn).filterIsInstance<RefuseRequest>().single()
+            .get { refusal.reason }.isEqualTo(RefusalReason.WITHDRAWN)
+    }
 }
