Bind the subscriber into the key that the plain service sees

Cause: a process that is not the home cannot tell whose key it is, so a subscriber who guessed another's key could read its answer once the home was gone. Change: runs and lookups send the order key followed by 16 hexadecimal digits of an xxHash of the subscriber id. The caller's key is unchanged. The stand-in counts executions by the caller's key over all forms of it, so that a key executed under two forms counts as two, and looks up by the exact form. RealBackendClientTest guards against the foreign lookup over HTTP. Conclusion: another subscriber's lookup finds nothing.

--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/RealBackendClient.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/RealBackendClient.kt
@@ -80,7 +80,7 @@
 
     private fun request(attempt: BackendAttempt): Request {
         val base = "http://${attempt.server.address}"
-        val key = attempt.spec.order?.toString().orEmpty()
+        val key = attempt.spec.order?.idempotencyKey(attempt.spec.subscriber).orEmpty()
         return when (attempt.call) {
             BackendCall.SERVE -> Request(Method.POST, "$base/v1/chat/completions")
                 .header("Request-Id", attempt.id.value)
--- a/daemon/src/test/kotlin/org/pomeloladder/daemon/RealBackendClientTest.kt
+++ b/daemon/src/test/kotlin/org/pomeloladder/daemon/RealBackendClientTest.kt
@@ -3,6 +3,7 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 import org.junit.jupiter.api.AfterEach
@@ -33,6 +34,7 @@
 
 private const val IDLE_TIMEOUT_MS = 2_000L
 private const val OK = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n"
+private const val NOT_FOUND = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
 
 class RealBackendClientTest {
     private val client = RealBackendClient(IDLE_TIMEOUT_MS)
@@ -129,6 +131,23 @@
         expectThat(run(BackendCall.LOOK_UP_ORDER)).isA<BackendResult.LookUpFailed>()
     }
 
+    @Test
+    fun `a lookup by another subscriber does not find an order whose key was guessed`() {
+        val keys = ConcurrentHashMap.newKeySet<String>()
+        serve { socket ->
+            val head = socket.readRequest()
+            val key = head.firstOrNull { it.startsWith("Idempotency-Key: ", ignoreCase = true) }
+                ?.substringAfter(": ")?.also(keys::add)
+            val asked = key ?: head.first().substringAfter("/orders/").substringBefore(' ')
+            socket.write(if (asked in keys) "$OK\r\n{}" else NOT_FOUND)
+        }
+        run()
+
+        expectThat(run(BackendCall.LOOK_UP_ORDER, "cafe-2")).isA<BackendResult.OrderAbsent>()
+        expectThat(run(BackendCall.LOOK_UP_ORDER)).isA<BackendResult.Ended>().get { outcome }
+            .isA<AttemptOutcome.Completed>()
+    }
+
     private fun strikt.api.Assertion.Builder<BackendResult>.isUnknown() =
         isA<BackendResult.Ended>().get { outcome }.isA<AttemptOutcome.Failed>()
             .get { refusal.runState }.isEqualTo(RunState.UNKNOWN)
@@ -142,19 +161,22 @@
         }
     }
 
-    /** Reads one request with its body and counts it. */
-    private fun Socket.readRequest() {
+    /** Reads one request with its body, counts it and returns the lines of its head. */
+    private fun Socket.readRequest(): List<String> {
         val reader = getInputStream().bufferedReader()
+        val head = ArrayList<String>()
         var length = 0
         while (true) {
-            val line = reader.readLine() ?: return
+            val line = reader.readLine() ?: return head
             if (line.isEmpty()) break
+            head += line
             if (line.startsWith("Content-Length:", ignoreCase = true)) {
                 length = line.substringAfter(':').trim().toInt()
             }
         }
         repeat(length) { reader.read() }
         requests.incrementAndGet()
+        return head
     }
 
     private fun Socket.write(text: String) {
@@ -162,13 +184,16 @@
         getOutputStream().flush()
     }
 
-    private fun run(call: BackendCall = BackendCall.RUN_ORDER): BackendResult {
+    private fun run(
+        call: BackendCall = BackendCall.RUN_ORDER,
+        subscriber: String = "cafe-1",
+    ): BackendResult {
         val domain = FailureDomainId("norte-a")
         val home = HomeToken(domain, VmId("norte-1"), Incarnation(1), 0)
         val service = ServiceId("orders")
         val spec = RequestSpec(
             id = RequestId("r1"),
-            subscriber = SubscriberId("cafe-1"),
+            subscriber = SubscriberId(subscriber),
             service = service,
             promptTokens = 1,
             maxOutputTokens = 0,
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Ids.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Ids.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.serialization.Serializable
 import org.pomeloladder.configuration.FailureDomainId
+import org.pomeloladder.configuration.SubscriberId
 import org.pomeloladder.configuration.VmId
 
 /** One call of a caller, unique across processes. Callers find it in the answer and use it with `explain`. */
@@ -74,8 +75,20 @@
 data class OrderKey(val home: HomeToken, val reference: String) {
     override fun toString() = "$home$SEPARATOR$reference"
 
+    /**
+     * The key that the plain service sees: this key and 16 hexadecimal digits of a hash of [subscriber]. A process that
+     * is not the home cannot tell whose key it is, so a lookup by another subscriber has to find nothing. The hash need
+     * not resist chosen collisions, because operators choose the subscriber ids.
+     */
+    fun idempotencyKey(subscriber: SubscriberId): String {
+        val hash = hashKey(subscriber.value).toULong().toString(HEXADECIMAL)
+        return "$this$SEPARATOR${hash.padStart(HASH_DIGITS, '0')}"
+    }
+
     companion object {
         private const val SEPARATOR = '~'
+        private const val HEXADECIMAL = 16
+        private const val HASH_DIGITS = 16
         private val REFERENCE = Regex("[A-Za-z0-9_-]{1,64}")
 
         /** Whether [text] may stand as the caller's part of a key. */
--- a/standins/src/main/kotlin/org/pomeloladder/standins/OrderServiceStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/OrderServiceStandIn.kt
@@ -35,10 +35,15 @@
 
     override fun close() = listener.close()
 
-    /** How often [key] was executed. */
-    fun executionsOf(key: String): Int = executions[key]?.get() ?: 0
+    /**
+     * How often the caller's [key] was executed under any form. The gateway adds a subscriber's hash after a further `~`;
+     * executions without it, or with different ones, are executions of the same key.
+     */
+    fun executionsOf(key: String): Int = executions
+        .filterKeys { it == key || it.startsWith("$key~") }
+        .values.sumOf { it.get() }
 
-    /** Every executed key with its number of executions. */
+    /** Every executed key, as it was received, with its number of executions. */
     fun allExecutions(): Map<String, Int> = executions.mapValues { it.value.get() }
 
     private fun handler() = routes(
@@ -57,7 +62,7 @@
 
     private fun lookUp(request: Request): Response {
         val key = request.path("key").orEmpty()
-        if (executionsOf(key) == 0) return Response(Status.NOT_FOUND)
+        if (!executions.containsKey(key)) return Response(Status.NOT_FOUND)
         return json("""{"key":"$key","state":"executed"}""")
     }
 }
