Send a cancel that comes during the connection's opening after its forward

Cause: sendCancel dropped the frame while the connection was being opened, so a withdrawal was lost and the caller was told unknown. Change: the transport remembers the cancel of a forward that waits for its connection and sends it behind the forward, so that the home can prove not-run. Dropping the unsent forward instead would prove nothing of an earlier call with the same key. Conclusion: the withdrawal reaches the home whenever its forward does.

--- a/peer/src/main/kotlin/org/pomeloladder/peer/PeerTransport.kt
+++ b/peer/src/main/kotlin/org/pomeloladder/peer/PeerTransport.kt
@@ -31,7 +31,10 @@
      */
     fun sendForward(to: VmId, frame: ForwardFrame, onNotSent: () -> Unit)
 
-    /** Cancels a forwarded attempt; without effect when the connection is gone. */
+    /**
+     * Cancels a forwarded attempt; without effect when the connection is gone. While the connection is being opened, the
+     * cancel waits and follows its forward.
+     */
     fun sendCancel(to: VmId, frame: CancelFrame)
 }
 
--- a/peer/src/main/kotlin/org/pomeloladder/peer/RealPeerTransport.kt
+++ b/peer/src/main/kotlin/org/pomeloladder/peer/RealPeerTransport.kt
@@ -24,6 +24,7 @@
 import kotlinx.io.IOException
 import org.pomeloladder.configuration.Address
 import org.pomeloladder.configuration.VmId
+import org.pomeloladder.decisions.AttemptId
 import org.pomeloladder.decisions.ControlMessage
 
 /** A peer that does not finish the handshake in this time is dropped. */
@@ -42,6 +43,9 @@
     private val dialLocks = ConcurrentHashMap<Pair<VmId, ChannelKind>, Mutex>()
     private val addressLocks = ConcurrentHashMap<Address, Mutex>()
     private val vmsByAddress = ConcurrentHashMap<Address, VmId>()
+
+    /** Forwards that wait for a connection, and whether they were cancelled. The cancel follows its forward. */
+    private val connecting = ConcurrentHashMap<AttemptId, Boolean>()
     private val accepted = ConcurrentHashMap.newKeySet<PeerConnection>()
 
     @Volatile
@@ -98,13 +102,21 @@
     override fun sendForward(to: VmId, frame: ForwardFrame, onNotSent: () -> Unit) {
         val connection = dialled[to to ChannelKind.TRAFFIC]
         if (connection != null && connection.trySend(frame)) return
+        connecting[frame.attempt] = false
         scope.launch {
             val fresh = connect(to, ChannelKind.TRAFFIC)
-            if (fresh == null || !fresh.trySend(frame)) onNotSent()
+            val isSent = fresh?.trySend(frame) ?: false
+            val isCancelled = connecting.remove(frame.attempt) ?: false
+            if (!isSent) {
+                onNotSent()
+            } else if (isCancelled) {
+                fresh?.trySend(CancelFrame(frame.attempt))
+            }
         }
     }
 
     override fun sendCancel(to: VmId, frame: CancelFrame) {
+        if (connecting.computeIfPresent(frame.attempt) { _, _ -> true } != null) return
         dialled[to to ChannelKind.TRAFFIC]?.trySend(frame)
     }
 
