Test residency, foreign domains, withdrawals and bindings of orders

Cause: these cases of the order protocol had no test. Change: tests for a residency change between queue and dispatch, a home in another domain of the region, ForwardCancelled at the home, the binding of a key to its subscriber, a connect timeout of an order, and the stand-in's fencing check with PUT /models over HTTP. Conclusion: no fault was found in these cases.

--- a/daemon/src/test/kotlin/org/pomeloladder/daemon/RealBackendClientTest.kt
+++ b/daemon/src/test/kotlin/org/pomeloladder/daemon/RealBackendClientTest.kt
@@ -3,6 +3,7 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.net.SocketTimeoutException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
@@ -124,6 +125,26 @@
             .get { refusal.runState }.isEqualTo(RunState.NOT_RUN)
     }
 
+    @Test
+    fun `an order whose connection is not made in time is proven not sent, not unknown`() {
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { full ->
+            // The kernel answers no further connection once the queue of unaccepted ones is full.
+            val waiting = generateSequence { full.connectOrNull() }.take(MAX_WAITING).toList()
+
+            expectThat(run(port = full.localPort)).isA<BackendResult.Ended>().get { outcome }
+                .isA<AttemptOutcome.NotSent>()
+                .get { refusal.runState }.isEqualTo(RunState.NOT_RUN)
+
+            waiting.forEach(Socket::close)
+        }
+    }
+
+    private fun ServerSocket.connectOrNull(): Socket? = try {
+        Socket().also { it.connect(localSocketAddress, CONNECT_WAIT_MS) }
+    } catch (_: SocketTimeoutException) {
+        null
+    }
+
     @Test
     fun `a lookup that fails is not taken for the answer that the order is absent`() {
         server.close()
@@ -187,6 +208,7 @@
     private fun run(
         call: BackendCall = BackendCall.RUN_ORDER,
         subscriber: String = "cafe-1",
+        port: Int = server.localPort,
     ): BackendResult {
         val domain = FailureDomainId("norte-a")
         val home = HomeToken(domain, VmId("norte-1"), Incarnation(1), 0)
@@ -202,7 +224,7 @@
             sequence = ConfigSequence(1),
             order = OrderKey(home, "ref"),
         )
-        val address = Address("127.0.0.1", server.localPort)
+        val address = Address("127.0.0.1", port)
         val record =
             BackendServerRecord(BackendServerId("orders-1"), domain, address, setOf(service))
         return client.call(
@@ -223,5 +245,7 @@
 
     private companion object {
         const val REPEATS = 20
+        const val MAX_WAITING = 16
+        const val CONNECT_WAIT_MS = 300
     }
 }
--- a/decisions/src/test/kotlin/org/pomeloladder/decisions/OrderSystemTest.kt
+++ b/decisions/src/test/kotlin/org/pomeloladder/decisions/OrderSystemTest.kt
@@ -2,7 +2,13 @@
 
 import org.junit.jupiter.api.Test
 import org.pomeloladder.configuration.BackendServerId
+import org.pomeloladder.configuration.ConfigSequence
+import org.pomeloladder.configuration.ConfigSnapshot
+import org.pomeloladder.configuration.ConfigVersion
+import org.pomeloladder.configuration.FailureDomainId
+import org.pomeloladder.configuration.Region
 import org.pomeloladder.configuration.RegionId
+import org.pomeloladder.configuration.SubscriberId
 import org.pomeloladder.configuration.VmId
 import org.pomeloladder.configuration.VmState
 import strikt.api.expectThat
@@ -281,4 +287,79 @@
         expectThat(started(test.advance(PAUSE_HOLD_MS))).get { call }
             .isEqualTo(BackendCall.LOOK_UP_ORDER)
     }
+
+    @Test
+    fun `a residency change while an order is queued keeps it from being dispatched`() {
+        val first = dispatched("r1", OrderKey(key.home, "first"))
+        test.tick(OrderAbsent(started(test.tick(run("r2"))).attempt))
+        expectThat(test.world.orders[key]?.state).isEqualTo(OrderState.QUEUED)
+        val stricter = testConfiguration(setOf(RegionId("centro")))
+        val snapshot = ConfigSnapshot(ConfigSequence(2), ConfigVersion(2), stricter)
+
+        val commands = test.tick(ConfigRead(snapshot, emptyList()), lost(first))
+
+        expectThat(commands).filterIsInstance<StartAttempt>().isEmpty()
+        val answer = commands.filterIsInstance<RefuseRequest>().single { it.request.value == "r2" }
+        expectThat(answer.refusal).get { reason }.isEqualTo(RefusalReason.RESIDENCY)
+        expectThat(answer.refusal).get { runState }.isEqualTo(RunState.NOT_RUN)
+    }
+
+    @Test
+    fun `an order of a home in another domain of the region is never dispatched here`() {
+        val other = FailureDomainId("norte-b")
+        val base = testConfiguration()
+        val region = RegionId("norte") to Region(setOf(NORTE, other))
+        val wide = TestWorld(configuration = base.copy(regions = base.regions + region))
+        val vms = listOf(
+            entryVm("norte-1"),
+            entryVm("norte-b-1", other),
+            entryVm("norte-b-2", other),
+        )
+        wide.list(vms, listOf(server("orders-1", ORDERS)))
+        val home = HomeToken(other, VmId("norte-b-1"), Incarnation(1), 0)
+        val unreachable = AttemptOutcome.NotSent(Refusal(RefusalReason.PEER_UNREACHABLE))
+
+        val toHome = wide.tick(run("r1", OrderKey(home, "ref"))).forwarded()
+        val toOther = wide.tick(AttemptEnded(toHome.attempt, unreachable)).forwarded()
+        val last = wide.tick(AttemptEnded(toOther.attempt, unreachable))
+
+        expectThat(listOf(toHome.to, toOther.to).map { it.value })
+            .isEqualTo(listOf("norte-b-1", "norte-b-2"))
+        expectThat(last).filterIsInstance<StartAttempt>().isEmpty()
+        expectThat(refusal(last)).get { runState }.isEqualTo(RunState.UNKNOWN)
+    }
+
+    private fun List<Command>.forwarded() = filterIsInstance<StartForward>().single()
+
+    @Test
+    fun `a withdrawn forward is never dispatched, and a dispatched one is not called not-run`() {
+        val lookUp = started(test.tick(forward("a1")))
+        val commands = test.tick(ForwardCancelled(AttemptId("a1")))
+        expectThat(commands).filterIsInstance<RefuseForward>().single()
+            .get { refusal.runState }.isEqualTo(RunState.NOT_RUN)
+        expectThat(test.tick(OrderAbsent(lookUp.attempt))).filterIsInstance<StartAttempt>()
+            .isEmpty()
+
+        val sent = OrderKey(key.home, "sent")
+        test.tick(OrderAbsent(started(test.tick(forward("a2", sent))).attempt))
+
+        expectThat(test.tick(ForwardCancelled(AttemptId("a2")))).filterIsInstance<RefuseForward>()
+            .isEmpty()
+        expectThat(test.world.orders[sent]?.state).isEqualTo(OrderState.DISPATCHED)
+    }
+
+    @Test
+    fun `another subscriber neither reads nor withdraws an order at its home`() {
+        val lookUp = started(test.tick(run("r1")))
+        for (call in OrderCall.entries) {
+            val foreign = request("r-$call", SubscriberId("cafe-2"), order = key)
+
+            val commands = test.tick(RequestArrived(foreign.copy(orderCall = call)))
+
+            expectThat(commands).filterIsInstance<StartAttempt>().isEmpty()
+            expectThat(refusal(commands)).get { runState }.isEqualTo(RunState.UNKNOWN)
+        }
+        expectThat(started(test.tick(OrderAbsent(lookUp.attempt)))).get { call }
+            .isEqualTo(BackendCall.RUN_ORDER)
+    }
 }
--- a/standins/src/test/kotlin/org/pomeloladder/standins/EngineStandInTest.kt
+++ b/standins/src/test/kotlin/org/pomeloladder/standins/EngineStandInTest.kt
@@ -6,6 +6,7 @@
 import org.http4k.client.JettyClient
 import org.http4k.core.Method
 import org.http4k.core.Request
+import org.http4k.core.Status
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -41,6 +42,23 @@
             expectThat(engine.cachedTokenCount).isGreaterThan(0)
         }
 
+    @Test
+    fun `an order with an old fencing number changes nothing on an engine that checks it`() {
+        for (checksFencing in listOf(true, false)) {
+            EngineStandIn(EngineProfile(), checksFencing = checksFencing).use { engine ->
+                engine.start()
+                val statuses = listOf("new" to 2, "old" to 1).map { (model, fencing) ->
+                    val body = """{"models":["$model"],"fencing":$fencing}"""
+                    http(Request(Method.PUT, "http://${engine.address}/models").body(body)).status
+                }
+
+                val second = if (checksFencing) Status.CONFLICT else Status.OK
+                expectThat(statuses).isEqualTo(listOf(Status.OK, second))
+                expectThat("old" in engine.loadedModels).isEqualTo(!checksFencing)
+            }
+        }
+    }
+
     private fun withEngine(use: (EngineStandIn) -> Unit) {
         EngineStandIn(EngineProfile(decodeMsPerToken = 0.0)).use { engine ->
             engine.start()
