Repeat engine orders that were carried out

Cause: an engine that restarted was not ordered again until its owner or its desired models changed. Change: the owner repeats a carried-out order after 60 s. A repeat counts in full against the weight store's rate, new orders come first, and the repeat that has waited longest comes before the others. Figures: in PlacementSystemTest, 10 engines within a share of 30 loads a minute get at most 121 orders in 4 minutes and each more than one. Conclusion: a restarted engine gets its models back after about 60 s while the rate suffices for all engines of the domain, and in turn beyond that.

--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/PlacementSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/PlacementSystem.kt
@@ -20,6 +20,12 @@
 /** Time until an order that failed or was refused is given again. */
 const val ENGINE_ORDER_RETRY_MS = 5_000L
 
+/**
+ * Time after which an order that was carried out is given again. An engine that restarts has lost its models and does not
+ * say so; the order is idempotent, so an engine that still holds them does nothing.
+ */
+const val ENGINE_ORDER_REPEAT_MS = 60_000L
+
 private const val PLACEMENT_SCAN_MS = 500L
 private const val MS_PER_MINUTE = 60_000.0
 
@@ -32,6 +38,9 @@
     var ordered: Set<ModelId>? = null
     var fencing = 0L
     var nextOrderMs = 0L
+
+    /** When the order that was carried out last is due again. */
+    var repeatMs = 0L
 }
 
 /** Keeps the table of placements and gives engine orders. */
@@ -51,12 +60,19 @@
         if (world.isHeld(tick.nowMs)) return
         val desired = document.desiredModels(world.backends.map { it.record })
         world.placements.removeIf { world.backends[it.server]?.owner != world.self.vm }
-        for ((id, models) in desired) {
+        for ((id, models) in world.byUrgency(desired)) {
             val server = world.backends[id] ?: continue
             if (server.owner == world.self.vm) ensure(world, tick, server, models)
         }
     }
 
+    /** New orders come before repeats, and the repeat that has waited longest before others. */
+    private fun World.byUrgency(desired: Map<BackendServerId, Set<ModelId>>) =
+        desired.entries.sortedBy { (id, models) ->
+            val placement = placements[id]?.takeIf { it.loaded == models }
+            placement?.let { maxOf(it.repeatMs, it.nextOrderMs) } ?: Long.MIN_VALUE
+        }
+
     /** The rate is the own domain's share, divided by the owners that draw on it. */
     private fun refill(world: World, tick: Tick, document: Configuration) {
         val domains = document.regions.values.sumOf { it.domains.size }.coerceAtLeast(1)
@@ -69,13 +85,16 @@
     private fun ensure(world: World, tick: Tick, server: BackendServer, models: Set<ModelId>) {
         val sequence = world.configuration.snapshot?.sequence ?: return
         val placement = world.placements.getOrPut(server.id) { Placement(server.id) }
-        val isSettled = placement.ordered != null || placement.loaded == models
-        if (isSettled || tick.nowMs < placement.nextOrderMs) return
+        val isRepeat = placement.loaded == models
+        val isSettled = isRepeat && tick.nowMs < placement.repeatMs
+        val isWaiting = placement.ordered != null || tick.nowMs < placement.nextOrderMs
+        if (isSettled || isWaiting) return
         // Without fencing, a previous owner that has not noticed its loss may still give an older order.
         val isTooEarly = tick.nowMs < server.ownedSinceMs + UNFENCED_WAIT_MS
         if (!server.record.checksFencing && isTooEarly) return
         if (loadTokens < 1.0) return
-        loadTokens -= (models - placement.loaded).size
+        // An engine that restarted loads everything again, so a repeat counts in full against the rate.
+        loadTokens -= if (isRepeat) models.size else (models - placement.loaded).size
         placement.ordered = models
         placement.fencing = maxOf(placement.fencing, sequence.value)
         tick.give(EnsureModels(server.record, models, placement.fencing))
@@ -93,6 +112,7 @@
         tick.journal.count(Counter.ENGINE_ORDERS, event.outcome.name.lowercase())
         if (event.outcome == EngineOrderOutcome.DONE) {
             placement.loaded = ordered
+            placement.repeatMs = tick.nowMs + ENGINE_ORDER_REPEAT_MS
             return
         }
         placement.nextOrderMs = tick.nowMs + ENGINE_ORDER_RETRY_MS
--- a/decisions/src/test/kotlin/org/pomeloladder/decisions/PlacementSystemTest.kt
+++ b/decisions/src/test/kotlin/org/pomeloladder/decisions/PlacementSystemTest.kt
@@ -3,10 +3,12 @@
 import org.junit.jupiter.api.Test
 import org.pomeloladder.configuration.BackendServerId
 import org.pomeloladder.configuration.ModelId
+import org.pomeloladder.configuration.Service
 import strikt.api.expectThat
 import strikt.assertions.filterIsInstance
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.single
 
@@ -45,7 +47,7 @@
     fun `many engines do not load at once, which would exceed the weight store's rate`() {
         val servers = (1..40).map { server("engine-$it").copy(checksFencing = true) }
         val many = testConfiguration().let { configuration ->
-            val service = org.pomeloladder.configuration.Service.LanguageModel(
+            val service = Service.LanguageModel(
                 ModelId("general-1"),
                 replicasPerDomain = 40,
             )
@@ -67,4 +69,38 @@
         expectThat(configuration.desiredModels(servers.reversed()))
             .isEqualTo(configuration.desiredModels(servers))
     }
+
+    @Test
+    fun `an engine that restarts does not stay without its models until its owner changes`() {
+        val test = world(checksFencing = true)
+        val first = test.advance(1_000).filterIsInstance<EnsureModels>().single()
+        test.tick(EngineOrderEnded(engine, first.fencing, EngineOrderOutcome.DONE))
+        expectThat(test.advance(ENGINE_ORDER_REPEAT_MS - 1_000)).filterIsInstance<EnsureModels>()
+            .isEmpty()
+
+        expectThat(test.advance(2_000)).filterIsInstance<EnsureModels>().single()
+            .get { models }.isEqualTo(first.models)
+    }
+
+    @Test
+    fun `repeats for many engines neither exceed the weight store's rate nor leave one out`() {
+        val servers = (1..10).map { server("engine-$it").copy(checksFencing = true) }
+        val model = Service.LanguageModel(ModelId("general-1"), replicasPerDomain = 10)
+        val base = testConfiguration()
+        val test = TestWorld(configuration = base.copy(services = base.services + (CHAT to model)))
+        test.list(listOf(entryVm("norte-1")), servers)
+
+        val orders = (1..480).flatMap {
+            val given = test.advance(500).filterIsInstance<EnsureModels>()
+            given.forEach {
+                test.tick(EngineOrderEnded(it.server.id, it.fencing, EngineOrderOutcome.DONE))
+            }
+            given
+        }
+
+        // Two failure domains share 60 loads a minute: 120 in 4 minutes, and the first at once.
+        expectThat(orders.size).isLessThanOrEqualTo(121)
+        val counts = servers.map { server -> orders.count { it.server.id == server.id } }
+        expectThat(counts.min()).isGreaterThan(1)
+    }
 }
