Keep reading the platform and loads after a closed connection

http4k throws ExecutionException when a server closes the connection, which ended the reader's thread for good. Daemon logs of the load tool showed dead platform-configuration and platform-vm-lists threads. Such a read now counts as failed and is repeated.

--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/LoadReader.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/LoadReader.kt
@@ -3,6 +3,7 @@
  */
 package org.pomeloladder.daemon
 
+import java.util.concurrent.ExecutionException
 import java.util.concurrent.TimeoutException
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
@@ -68,7 +69,12 @@
     }
 
     private fun read(server: BackendServerRecord) {
-        val response = client(Request(Method.GET, "http://${server.address}/load"))
+        val response = try {
+            client(Request(Method.GET, "http://${server.address}/load"))
+        } catch (_: ExecutionException) {
+            // http4k throws when the server closes the connection; the next round asks again.
+            return
+        }
         if (!response.status.successful) return
         try {
             val answer = daemonJson.decodeFromString<LoadAnswer>(response.bodyString())
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/RealPlatformReader.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/RealPlatformReader.kt
@@ -4,6 +4,7 @@
  */
 package org.pomeloladder.daemon
 
+import java.util.concurrent.ExecutionException
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 import kotlinx.serialization.Serializable
@@ -127,7 +128,12 @@
     }
 
     private inline fun <reified T> get(path: String): T? {
-        val response = client(Request(Method.GET, "http://$platform$path"))
+        val response = try {
+            client(Request(Method.GET, "http://$platform$path"))
+        } catch (_: ExecutionException) {
+            // http4k throws when the service closes the connection; an uncaught exception would end the reader's thread.
+            return null
+        }
         if (!response.status.successful) return null
         return try {
             daemonJson.decodeFromString<T>(response.bodyString())
