--- a/bench/src/main/kotlin/org/pomeloladder/bench/Cluster.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/Cluster.kt
@@ -44,7 +44,11 @@
     val proxies: FaultProxies
         get() = checkNotNull(faults) { "the deployment has no fault proxies" }
 
+    /** A killed tool runs no `use` block, so its daemons would stay behind. */
+    private val endDaemons = Thread { daemons.values.forEach(DaemonProcess::kill) }
+
     fun start() {
+        Runtime.getRuntime().addShutdownHook(endDaemons)
         platform.start()
         separatePlatform.start()
         val entryVms = ArrayList<EntryVmRecord>()
@@ -73,6 +77,7 @@
 
     override fun close() {
         daemons.values.forEach(DaemonProcess::close)
+        removeShutdownHook()
         engines.values.forEach(EngineStandIn::close)
         orderServices.values.forEach(OrderServiceStandIn::close)
         platform.close()
@@ -80,6 +85,15 @@
         separatePlatform.close()
     }
 
+    private fun removeShutdownHook() {
+        try {
+            Runtime.getRuntime().removeShutdownHook(endDaemons)
+        } catch (_: IllegalStateException) {
+            // The process is shutting down, and the hook runs.
+            return
+        }
+    }
+
     /** Two VMs of each domain, so that a fresh VM finds a peer while one VM of a domain is down. */
     private fun seedsOf(vms: List<EntryVmRecord>): List<Address> = vms
         .groupBy { it.domain }
