--- a/bench/src/main/kotlin/org/pomeloladder/bench/Cluster.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/Cluster.kt
@@ -30,9 +30,6 @@
 class Cluster(private val spec: ClusterSpec) : AutoCloseable {
     val platform = PlatformStandIn(configurationOf(spec))
 
-    /** A second platform for the domains that ask for one; set its mode to cut them off. */
-    val separatePlatform = PlatformStandIn(configurationOf(spec))
-
     /** What the VM lists first said of each domain's backend servers. */
     val backends = LinkedHashMap<FailureDomainId, List<BackendServerRecord>>()
     val engines = LinkedHashMap<BackendServerId, EngineStandIn>()
@@ -50,22 +47,26 @@
     fun start() {
         Runtime.getRuntime().addShutdownHook(endDaemons)
         platform.start()
-        separatePlatform.start()
         val entryVms = ArrayList<EntryVmRecord>()
         for (domain in spec.domains) {
             backends[domain.id] = startBackends(domain).also { records ->
                 platform.publishBackends(domain.id, records)
-                separatePlatform.publishBackends(domain.id, records)
             }
             entryVms += entryVmsOf(domain)
         }
         val published = entryVms.map { it.published() }
         platform.publishEntryVms(published)
-        separatePlatform.publishEntryVms(published)
         val seeds = seedsOf(published)
         for (record in entryVms) {
             val address = platformAddressOf(record)
-            daemons[record.id] = DaemonProcess(record, freeAddress(), address, seeds, spec.policies)
+            daemons[record.id] = DaemonProcess(
+                record = record,
+                administration = freeAddress(),
+                platform = address,
+                seeds = seeds,
+                policies = spec.policies,
+                hasFullCompiler = spec.hasFullCompiler,
+            )
         }
         daemons.values.forEach(DaemonProcess::start)
         daemons.values.forEach(DaemonProcess::awaitReady)
@@ -82,7 +83,6 @@
         orderServices.values.forEach(OrderServiceStandIn::close)
         platform.close()
         faults?.close()
-        separatePlatform.close()
     }
 
     private fun removeShutdownHook() {
@@ -101,11 +101,8 @@
         .flatMap { it.take(SEEDS_PER_DOMAIN) }
         .map { it.peerAddress }
 
-    private fun platformAddressOf(record: EntryVmRecord): Address {
-        val isSeparate = spec.domains.first { it.id == record.domain }.hasSeparatePlatform
-        if (isSeparate) return separatePlatform.address
-        return faults?.platform(record.domain, platform.address) ?: platform.address
-    }
+    private fun platformAddressOf(record: EntryVmRecord): Address =
+        faults?.platform(record.domain, platform.address) ?: platform.address
 
     /** The record as peers see it: behind a proxy when the deployment has them. */
     private fun EntryVmRecord.published(): EntryVmRecord {
--- a/bench/src/main/kotlin/org/pomeloladder/bench/ClusterSpec.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/ClusterSpec.kt
@@ -17,6 +17,9 @@
     /** Whether peers, the platform and backend servers are reached through fault-injecting proxies. */
     var hasFaultProxies = false
 
+    /** Whether daemons also use the optimizing compiler, which starts slower and runs faster. */
+    var hasFullCompiler = false
+
     /** The settings section `policies` of every daemon, as YAML in one line. */
     var policies = "{}"
 
@@ -38,9 +41,6 @@
     var orderServers = 1
     var engineProfile = EngineProfile()
     var engineConcurrency = 8
-
-    /** Whether the domain's daemons read [Cluster.separatePlatform], which can be down for them alone. */
-    var hasSeparatePlatform = false
 }
 
 /** One subscriber, in a group of its own. */
--- a/bench/src/main/kotlin/org/pomeloladder/bench/ConfigExperiment.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/ConfigExperiment.kt
@@ -8,9 +8,11 @@
 import kotlin.random.Random
 import org.HdrHistogram.Histogram
 import org.pomeloladder.configuration.Change
+import org.pomeloladder.configuration.FailureDomainId
 import org.pomeloladder.configuration.Patch
 import org.pomeloladder.configuration.SubscriberGroupId
-import org.pomeloladder.standins.PlatformMode
+import org.pomeloladder.standins.BOTH_WAYS
+import org.pomeloladder.standins.Fault
 
 private const val SHORTEST_GAP_MS = 150L
 private const val LONGEST_GAP_MS = 450L
@@ -25,6 +27,7 @@
 private const val P50 = 50.0
 private const val P99 = 99.0
 private const val MAX_WEIGHT = 100
+private val CUT_OFF = FailureDomainId("austral-b")
 
 internal class ConfigExperiment : Experiment {
     override val name = "config"
@@ -60,7 +63,7 @@
 
     private fun measure(seed: Long, isCutOff: Boolean): Measured = Cluster(spec()).use { cluster ->
         cluster.start()
-        if (isCutOff) cluster.separatePlatform.setMode(PlatformMode.DOWN)
+        if (isCutOff) cluster.proxies.injectPlatform(CUT_OFF, Fault.Cut(BOTH_WAYS))
         val watches = cluster.daemons.values.map { VersionWatch(it).apply { start() } }
         val published = LinkedHashMap<Long, Long>()
         val random = Random(seed)
@@ -77,7 +80,7 @@
         evaluate(published, watches)
     }
 
-    /** Publishes to both platforms, so that a reachable second one shows the same log. */
+    /** Publishes a change of the group and returns its version. */
     private fun publish(cluster: Cluster, random: Random): Long {
         val before = cluster.platform.inForce
         val id = SubscriberGroupId("cafe")
@@ -85,7 +88,6 @@
             .copy(weight = random.nextInt(1, MAX_WEIGHT))
         val patch = Patch(before.version, listOf(Change.PutGroup(id, group)))
         cluster.platform.publish(patch)
-        cluster.separatePlatform.publish(patch)
         return cluster.platform.inForce.version.value
     }
 
@@ -107,13 +109,11 @@
     }
 
     private fun spec() = clusterSpec {
+        hasFaultProxies = true
         domain("norte", "norte-a") { small() }
         domain("norte", "norte-b") { small() }
         domain("austral", "austral-a") { small() }
-        domain("austral", "austral-b") {
-            small()
-            hasSeparatePlatform = true
-        }
+        domain("austral", CUT_OFF.value) { small() }
         subscriber("cafe", listOf("norte", "austral"))
     }
 
--- a/bench/src/main/kotlin/org/pomeloladder/bench/DaemonProcess.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/DaemonProcess.kt
@@ -29,6 +29,7 @@
     private val platform: Address,
     private val seeds: List<Address>,
     private val policies: String = "{}",
+    private val hasFullCompiler: Boolean = false,
 ) : AutoCloseable {
     private val directory = File.createTempFile("pomeloladder-", "").apply {
         delete()
@@ -51,15 +52,15 @@
 
     fun start() {
         val settings = File(directory, "settings.yaml").apply { writeText(settingsYaml()) }
-        process = ProcessBuilder(
-            File(System.getProperty("java.home"), "bin/java").path,
-            "-Xmx256m",
-            "-XX:TieredStopAtLevel=1",
+        val java = File(System.getProperty("java.home"), "bin/java").path
+        val compiler = if (hasFullCompiler) emptyList() else listOf("-XX:TieredStopAtLevel=1")
+        val command = listOf(java, "-Xmx256m") + compiler + listOf(
             "-cp",
             System.getProperty("java.class.path"),
             "org.pomeloladder.daemon.MainKt",
             settings.path,
-        ).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log)).start()
+        )
+        process = ProcessBuilder(command).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log)).start()
     }
 
     fun awaitReady() {
