--- a/bench/src/main/kotlin/org/pomeloladder/bench/DaemonProcess.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/DaemonProcess.kt
@@ -60,7 +60,12 @@
             "org.pomeloladder.daemon.MainKt",
             settings.path,
         )
-        process = ProcessBuilder(command).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log)).start()
+        process =
+            ProcessBuilder(
+                command,
+            ).redirectErrorStream(
+                true,
+            ).redirectOutput(ProcessBuilder.Redirect.appendTo(log)).start()
     }
 
     fun awaitReady() {
