--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/RealPlatformReader.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/RealPlatformReader.kt
@@ -131,7 +131,7 @@
         val response = try {
             client(Request(Method.GET, "http://$platform$path"))
         } catch (_: ExecutionException) {
-            // http4k throws when the service closes the connection; an uncaught exception would end the reader's thread.
+            // http4k throws when the service closes the connection, which would end this thread.
             return null
         }
         if (!response.status.successful) return null
--- a/daemon/src/test/kotlin/org/pomeloladder/daemon/RealPlatformReaderTest.kt
+++ b/daemon/src/test/kotlin/org/pomeloladder/daemon/RealPlatformReaderTest.kt
@@ -36,7 +36,7 @@
     }
 
     @Test
-    fun `a platform that closes connections is read again, so a change after its restart is seen`() {
+    fun `a platform that closes connections is read again, so its restart is survived`() {
         serve()
         reader.start()
         reader.watch(isWatching = true, after = null)
