Choose hedge and outlier policies by name in the settings

Cause: the setting hedges had no effect, and outliers had no name, so the baselines of the load experiments ran with hedges and ejections.

Change: hedges: false selects NoHedgePolicy, outliers: false selects NoOutlierPolicy; the baselines of heavy-user, short-behind-long and stragglers use both.

--- a/bench/src/main/kotlin/org/pomeloladder/bench/HeavyUserExperiment.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/HeavyUserExperiment.kt
@@ -21,7 +21,11 @@
 private const val P95 = 95.0
 
 internal class HeavyUserExperiment :
-    DisturbanceExperiment(MAX_FIGURE, BASELINE_FACTOR, "{queue: first-come}") {
+    DisturbanceExperiment(
+        MAX_FIGURE,
+        BASELINE_FACTOR,
+        "{queue: first-come, hedges: false, outliers: false}",
+    ) {
     override val name = "heavy-user"
     override val summary =
         "light subscribers' p95 first token with one subscriber at 20 times its fair share"
--- a/bench/src/main/kotlin/org/pomeloladder/bench/ShortBehindLongExperiment.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/ShortBehindLongExperiment.kt
@@ -19,7 +19,11 @@
 private const val P95 = 95.0
 
 internal class ShortBehindLongExperiment :
-    DisturbanceExperiment(MAX_FIGURE, BASELINE_FACTOR, "{queue: first-come}") {
+    DisturbanceExperiment(
+        MAX_FIGURE,
+        BASELINE_FACTOR,
+        "{queue: first-come, hedges: false, outliers: false}",
+    ) {
     override val name = "short-behind-long"
     override val summary =
         "short questions' p95 first token at about 80% load with 10% long manuals, against none"
--- a/bench/src/main/kotlin/org/pomeloladder/bench/StragglersExperiment.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/StragglersExperiment.kt
@@ -18,7 +18,11 @@
 private const val P99 = 99.0
 
 internal class StragglersExperiment :
-    DisturbanceExperiment(MAX_FIGURE, BASELINE_FACTOR, "{route: least-reported-load}") {
+    DisturbanceExperiment(
+        MAX_FIGURE,
+        BASELINE_FACTOR,
+        "{route: least-reported-load, hedges: false, outliers: false}",
+    ) {
     override val name = "stragglers"
     override val summary = "p99 of all requests with 1 engine of 8 slowed tenfold, against none"
     override val target = "at most 1.5; least-reported-load baseline at least 2 times worse"
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/PolicyChoice.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/PolicyChoice.kt
@@ -5,6 +5,8 @@
 
 import org.pomeloladder.decisions.FifoQueue
 import org.pomeloladder.decisions.LeastReportedLoadRoutePolicy
+import org.pomeloladder.decisions.NoHedgePolicy
+import org.pomeloladder.decisions.NoOutlierPolicy
 import org.pomeloladder.decisions.Policies
 import org.pomeloladder.decisions.QueuePolicy
 import org.pomeloladder.decisions.RandomRoutePolicy
@@ -19,5 +21,6 @@
         "least-reported-load" -> route = LeastReportedLoadRoutePolicy()
     }
     if (names.queue == "first-come") queue = QueuePolicy(::FifoQueue)
-    // When hedges exist, names.hedges == false selects NoHedgePolicy here.
+    if (!names.hedges) hedge = NoHedgePolicy
+    if (!names.outliers) outlier = NoOutlierPolicy
 }
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/Settings.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/Settings.kt
@@ -39,6 +39,7 @@
     val route: String = "affinity",
     val queue: String = "fair",
     val hedges: Boolean = true,
+    val outliers: Boolean = true,
 )
 
 /** One problem of a settings file: where, what was expected, what was found. */
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/SettingsReader.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/SettingsReader.kt
@@ -101,7 +101,8 @@
     return PolicyNames(
         route = choice("route", ROUTE_POLICIES, defaults.route),
         queue = choice("queue", QUEUE_POLICIES, defaults.queue),
-        hedges = choice("hedges", listOf("true", "false"), "${defaults.hedges}").toBoolean(),
+        hedges = flag("hedges", defaults.hedges),
+        outliers = flag("outliers", defaults.outliers),
     ).also { rejectUnknown() }
 }
 
@@ -169,6 +170,10 @@
         return default
     }
 
+    /** `true` or `false`; [default] when the field is missing. */
+    fun flag(field: String, default: Boolean): Boolean =
+        choice(field, listOf("true", "false"), "$default").toBoolean()
+
     fun <T> section(field: String, isOptional: Boolean = false, read: SettingsReader.() -> T): T {
         val found = node(field)
         val isMissing = found == null || found is YamlNull
