--- a/daemon/src/test/kotlin/org/pomeloladder/daemon/SettingsReaderTest.kt
+++ b/daemon/src/test/kotlin/org/pomeloladder/daemon/SettingsReaderTest.kt
@@ -5,6 +5,10 @@
 import java.util.concurrent.TimeUnit
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.io.TempDir
+import org.pomeloladder.decisions.NoHedgePolicy
+import org.pomeloladder.decisions.NoOutlierPolicy
+import org.pomeloladder.decisions.RealHedgePolicy
+import org.pomeloladder.decisions.RealOutlierPolicy
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.containsExactlyInAnyOrder
@@ -31,6 +35,21 @@
             .get { settings.limits }.isEqualTo(Limits())
     }
 
+    @Test
+    fun `policies named off are not those of production, so a baseline runs without them`() {
+        val result = readSettings("$valid\npolicies: {hedges: false, outliers: false}")
+        val names = (result as SettingsResult.Valid).settings.policies
+
+        expectThat(chosenPolicies(names)) {
+            get { hedge }.isEqualTo(NoHedgePolicy)
+            get { outlier }.isEqualTo(NoOutlierPolicy)
+        }
+        expectThat(chosenPolicies(PolicyNames())) {
+            get { hedge }.isA<RealHedgePolicy>()
+            get { outlier }.isA<RealOutlierPolicy>()
+        }
+    }
+
     @Test
     fun `all problems are reported at once, so that an operator does not fix them one by one`() {
         val broken = valid.replace("8080", "none").replace("ab".repeat(16), "abcd")
