Scan queues for deadlines on a timer

Cause: each tick walked every queue, though a table scan belongs on a timer of at least 100 ms.

Change: queued deadlines are checked every 100 ms while anything waits; tests of a queued deadline and of the recount at a new owner.

--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/DispatchSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/DispatchSystem.kt
@@ -16,11 +16,16 @@
 /** Bounds of Retry-After: long enough to matter, short enough that a caller notices recovery. */
 private val RETRY_AFTER_MS = 100L..30_000L
 
+/** Deadlines of queued attempts are checked this often, not at every event. */
+private const val DEADLINE_SCAN_MS = 100L
+
 /** Weight of the newest observation in moving averages. */
 private const val AVERAGE_WEIGHT = 0.2
 
 /** Fills windows from queues. */
 class DispatchSystem(private val queuePolicy: QueuePolicy = QueuePolicy(::FairQueue)) : TickSystem {
+    private var nextScanMs = 0L
+
     override fun run(world: World, tick: Tick) {
         for (server in world.backends) {
             if (server.id !in world.queues) world.queues[server.id] = queuePolicy.newQueue()
@@ -68,6 +73,14 @@
     }
 
     private fun expire(world: World, tick: Tick) {
+        if (tick.nowMs >= nextScanMs) {
+            nextScanMs = tick.nowMs + DEADLINE_SCAN_MS
+            expireQueued(world, tick)
+        }
+        if (world.queues.any { it.size > 0 }) tick.wakeAt(nextScanMs)
+    }
+
+    private fun expireQueued(world: World, tick: Tick) {
         for (queue in world.queues) {
             if (queue.size == 0) continue
             for (attempt in queue.waiting()) {
@@ -198,7 +211,6 @@
     row.queued += 1
     row.queuedCostTokens += attempt.spec.costTokens
     queue.offer(this, attempt)
-    tick.wakeAt(attempt.deadlineMs)
 }
 
 /** Takes a queued [attempt] out of its queue and ends it as not sent. */
--- a/decisions/src/test/kotlin/org/pomeloladder/decisions/DispatchSystemTest.kt
+++ b/decisions/src/test/kotlin/org/pomeloladder/decisions/DispatchSystemTest.kt
@@ -45,6 +45,35 @@
         expectThat(test.world.attempts.filter { it.spec.id.value == "other" }).hasSize(1)
     }
 
+    @Test
+    fun `a queued attempt ends at its deadline though no event names it`() {
+        test.tick(RequestArrived(request("running")))
+        test.tick(RequestArrived(request("waiting", budgetMs = 500)))
+        expectThat(engine.queued).isEqualTo(1)
+
+        test.advance(700)
+
+        expectThat(engine.queued).isEqualTo(0)
+        expectThat(test.world.attempts.filter { it.spec.id.value == "waiting" }).hasSize(0)
+    }
+
+    @Test
+    fun `a new owner counts its own attempts, so old counts of the previous owner block no slot`() {
+        test.tick(RequestArrived(request("running")))
+        engine.inFlight = 7
+        engine.inFlightLong = 3
+        engine.queued = 5
+
+        test.world.recount(engine)
+
+        expectThat(engine) {
+            get { inFlight }.isEqualTo(1)
+            get { inFlightLong }.isEqualTo(0)
+            get { queued }.isEqualTo(0)
+            get { inFlightCostTokens }.isEqualTo(20)
+        }
+    }
+
     @Test
     fun `counts of long prompts return to zero, so long work is not locked out after a failure`() {
         val long = request("r1", promptTokens = 10_000)
