Hold heavy subscribers to a quarter of each window

Cause: the fair queue orders only what waits. A heavy subscriber, whose queue never empties, took every slot that became free while no one else waited, so others waited for a slot and for its prompts in the batch.

Change: a subscriber with more than twice the mean usage has at most a quarter of a server's window in flight. Virtual time does not go back to the old tag of a flow that was held back. A test of group weights.

--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/DispatchSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/DispatchSystem.kt
@@ -54,6 +54,9 @@
         val server = world.backends[place.server] ?: return
         server.inFlight -= 1
         server.inFlightCostTokens -= attempt.spec.costTokens
+        server.inFlightOf.computeIfPresent(attempt.spec.subscriber) { _, count ->
+            (count - 1).takeIf { it > 0 }
+        }
         if (attempt.isLongInFlight) server.inFlightLong -= 1
         server.endPrompt(attempt)
         server.observeService(tick, attempt, event.outcome)
@@ -125,6 +128,7 @@
         attempt.dispatchedMs = tick.nowMs
         server.inFlight += 1
         server.inFlightCostTokens += attempt.spec.costTokens
+        server.inFlightOf.merge(attempt.spec.subscriber, 1, Int::plus)
         server.beginPrompt(attempt)
         attempt.chargedTokens = attempt.spec.costTokens
         world.charge(attempt.spec.subscriber, attempt.spec.costTokens, tick.nowMs)
@@ -249,6 +253,8 @@
     val waiting = queues[server.id]?.waiting().orEmpty()
     server.inFlight = running.size
     server.inFlightCostTokens = running.sumOf { it.spec.costTokens }
+    server.inFlightOf.clear()
+    running.groupingBy { it.spec.subscriber }.eachCountTo(server.inFlightOf)
     server.inFlightLong = running.count { it.isLongInFlight }
     server.queued = waiting.size
     server.queuedCostTokens = waiting.sumOf { it.spec.costTokens }
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Entities.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Entities.kt
@@ -59,6 +59,9 @@
     var longPromptsPending = 0
     var pendingPromptTokens = 0L
 
+    /** Exact at the owner: attempts in flight of each subscriber that has any. */
+    val inFlightOf = HashMap<SubscriberId, Int>()
+
     /** Moving averages of own observations; zero until the first one. */
     var firstTokenMs = 0.0
     var firstTokenMsPerToken = 0.0
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/FairQueue.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/FairQueue.kt
@@ -17,6 +17,9 @@
 /** Part of a window that only short work may use. */
 private const val RESERVE_DIVISOR = 4
 
+/** Part of a window that a heavy subscriber may use. */
+private const val HEAVY_DIVISOR = 4
+
 /** Whether the estimated cost is below [SHORT_COST_TOKENS]. */
 val RequestSpec.isShort: Boolean
     get() = costTokens < SHORT_COST_TOKENS
@@ -37,6 +40,15 @@
     inFlightLong < windowSize - shortReserve(windowSize) &&
         !(spec.hasLongPrompt && longPromptsPending > 0)
 
+/**
+ * Whether the server may take one more attempt of [subscriber]. A heavy one is held to a part of the window: its queue
+ * never empties, so without the limit every other subscriber would wait for a slot, and for its prompts in the batch.
+ */
+private fun BackendServer.hasSlotFor(world: World, subscriber: SubscriberId): Boolean {
+    val inFlight = inFlightOf[subscriber] ?: return true
+    return inFlight < maxOf(1, windowSize / HEAVY_DIVISOR) || !world.isHeavy(subscriber)
+}
+
 /** The queue of production. */
 class FairQueue : WorkQueue {
     private val short = FairLane()
@@ -50,14 +62,16 @@
 
     override fun poll(world: World, server: BackendServer): Attempt? {
         if (server.freeSlots <= 0) return null
-        val nextLong = long.peek()?.takeIf { server.hasSlotForLong(it.spec) }
-        val isLongTurn = short.size == 0 || shortsAhead >= SHORT_BURST
+        val mayRun = { id: SubscriberId -> server.hasSlotFor(world, id) }
+        val nextLong = long.peek(mayRun)?.takeIf { server.hasSlotForLong(it.spec) }
+        val nextShort = short.peek(mayRun)
+        val isLongTurn = nextShort == null || shortsAhead >= SHORT_BURST
         if (nextLong != null && isLongTurn) {
             shortsAhead = 0
-            return long.poll()
+            return long.poll(mayRun)
         }
         shortsAhead = if (nextLong == null) 0 else shortsAhead + 1
-        return short.poll()
+        return short.poll(mayRun)
     }
 
     override fun remove(attempt: AttemptId): Boolean = short.remove(attempt) || long.remove(attempt)
@@ -89,8 +103,14 @@
     val subscribers = LinkedHashMap<SubscriberId, SubscriberFlow>()
     var virtualTime = 0.0
 
-    val waiting: List<SubscriberFlow>
-        get() = subscribers.values.filter { it.items.isNotEmpty() }
+    val hasWaiting: Boolean
+        get() = subscribers.values.any { it.items.isNotEmpty() }
+
+    /** The flow with the lowest tag among the waiting ones of subscribers that [mayRun]. */
+    fun next(mayRun: (SubscriberId) -> Boolean): SubscriberFlow? = subscribers.entries
+        .filter { it.value.items.isNotEmpty() && mayRun(it.key) }
+        .minByOrNull { it.value.startTag }
+        ?.value
 }
 
 /** Start-time fair queueing in two levels. Equal tags are served in order of arrival, so that runs can be repeated. */
@@ -108,7 +128,7 @@
         val weight = maxOf(1, document?.groups?.get(groupId)?.weight ?: 1)
         val group = groups.getOrPut(groupId) { GroupFlow(weight) }
         group.weight = weight
-        if (group.waiting.isEmpty()) group.startTag = maxOf(group.startTag, virtualTime)
+        if (!group.hasWaiting) group.startTag = maxOf(group.startTag, virtualTime)
         val flow = group.subscribers.getOrPut(id) { SubscriberFlow() }
         if (flow.items.isEmpty()) {
             val entry = group.virtualTime + world.excessUsage(id)
@@ -118,14 +138,16 @@
         size += 1
     }
 
-    fun peek(): Attempt? = nextGroup()?.let { nextFlow(it).items.first() }
+    fun peek(mayRun: (SubscriberId) -> Boolean): Attempt? =
+        nextGroup(mayRun)?.next(mayRun)?.items?.first()
 
-    fun poll(): Attempt? {
-        val group = nextGroup() ?: return null
-        val flow = nextFlow(group)
+    fun poll(mayRun: (SubscriberId) -> Boolean): Attempt? {
+        val group = nextGroup(mayRun) ?: return null
+        val flow = group.next(mayRun) ?: return null
         val attempt = flow.items.removeFirst()
-        virtualTime = group.startTag
-        group.virtualTime = flow.startTag
+        // A flow that was held back has an old tag, and virtual time must not go back to it.
+        virtualTime = maxOf(virtualTime, group.startTag)
+        group.virtualTime = maxOf(group.virtualTime, flow.startTag)
         group.startTag += attempt.spec.costTokens.toDouble() / group.weight
         flow.startTag += attempt.spec.costTokens
         size -= 1
@@ -163,10 +185,8 @@
 
     private fun flows() = groups.values.flatMap { it.subscribers.entries }
 
-    private fun nextGroup() =
-        groups.values.filter { it.waiting.isNotEmpty() }.minByOrNull { it.startTag }
-
-    private fun nextFlow(group: GroupFlow) = group.waiting.minBy { it.startTag }
+    private fun nextGroup(mayRun: (SubscriberId) -> Boolean) =
+        groups.values.filter { it.next(mayRun) != null }.minByOrNull { it.startTag }
 
     /** A flow whose tag virtual time has passed would start anew with the same tag, so it need not be kept. */
     private fun forgetIdle(group: GroupFlow) {
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/UsageSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/UsageSystem.kt
@@ -10,6 +10,9 @@
 /** Usage counts half after this time. */
 const val USAGE_HALF_LIFE_MS = 60_000L
 
+/** A subscriber with more than this multiple of the mean usage is heavy. A sole subscriber never is. */
+private const val HEAVY_FACTOR = 2.0
+
 /** Rows are decayed and dropped this often. */
 private const val USAGE_SCAN_MS = 1_000L
 
@@ -87,6 +90,12 @@
     return maxOf(0.0, row.costTokens - process.meanUsageTokens)
 }
 
+/** Whether [subscriber] uses several times as much as the mean of the subscribers with usage. */
+fun World.isHeavy(subscriber: SubscriberId): Boolean {
+    val row = subscribers[subscriber] ?: return false
+    return row.costTokens > process.meanUsageTokens * HEAVY_FACTOR
+}
+
 private val SubscriberUsage.costTokens: Double
     get() = ownCostTokens + peerCostTokens
 
--- a/decisions/src/test/kotlin/org/pomeloladder/decisions/DispatchSystemTest.kt
+++ b/decisions/src/test/kotlin/org/pomeloladder/decisions/DispatchSystemTest.kt
@@ -63,6 +63,7 @@
         engine.inFlight = 7
         engine.inFlightLong = 3
         engine.queued = 5
+        engine.inFlightOf[SubscriberId("cafe-2")] = 4
 
         test.world.recount(engine)
 
@@ -71,6 +72,7 @@
             get { inFlightLong }.isEqualTo(0)
             get { queued }.isEqualTo(0)
             get { inFlightCostTokens }.isEqualTo(20)
+            get { inFlightOf }.isEqualTo(hashMapOf(CAFE to 1))
         }
     }
 
--- a/decisions/src/test/kotlin/org/pomeloladder/decisions/FairQueueTest.kt
+++ b/decisions/src/test/kotlin/org/pomeloladder/decisions/FairQueueTest.kt
@@ -1,6 +1,11 @@
 package org.pomeloladder.decisions
 
 import org.junit.jupiter.api.Test
+import org.pomeloladder.configuration.ConfigSequence
+import org.pomeloladder.configuration.ConfigSnapshot
+import org.pomeloladder.configuration.ConfigVersion
+import org.pomeloladder.configuration.Subscriber
+import org.pomeloladder.configuration.SubscriberGroupId
 import org.pomeloladder.configuration.SubscriberId
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
@@ -56,6 +61,42 @@
         expectThat(order()).containsExactly("l1", "l2", "h1")
     }
 
+    @Test
+    fun `a heavy subscriber with a long queue leaves slots to others that are not waiting yet`() {
+        test.world.process.meanUsageTokens = 100.0
+        test.world.charge(heavy, 1_000, test.nowMs)
+        idle.inFlightOf[heavy] = 2
+        idle.inFlight = 2
+        offer("h1", heavy)
+
+        expectThat(queue.poll(test.world, idle)).isNull()
+        offer("l1", light)
+        expectThat(order()).containsExactly("l1")
+        idle.inFlightOf[heavy] = 1
+        expectThat(order()).containsExactly("h1")
+    }
+
+    @Test
+    fun `a group of twice the weight gets twice the work, not the same share as the others`() {
+        val ids = listOf("double", "single")
+        val document = testConfiguration()
+        val group = document.groups.getValue(GROUP)
+        val weighted = document.copy(
+            groups = mapOf(
+                SubscriberGroupId("double") to group.copy(weight = 2),
+                SubscriberGroupId("single") to group,
+            ),
+            subscribers = ids.associate {
+                SubscriberId(it) to Subscriber(SubscriberGroupId(it), emptySet())
+            },
+        )
+        test.world.configuration.snapshot =
+            ConfigSnapshot(ConfigSequence(2), ConfigVersion(2), weighted)
+        for (number in 1..6) ids.forEach { offer("$it-$number", SubscriberId(it)) }
+
+        expectThat(order().take(6).count { it.startsWith("double") }).isEqualTo(4)
+    }
+
     @Test
     fun `long work does not take the slots reserved for short work`() {
         idle.inFlightLong = 6
