Keep short work off the servers that process long prompts

Cause: an engine processes prompts one after another, and short work was routed to servers in the middle of a long prompt.

--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/World.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/World.kt
@@ -14,6 +14,7 @@
 import org.pomeloladder.configuration.EntryVmList
 import org.pomeloladder.configuration.FailureDomainId
 import org.pomeloladder.configuration.RegionId
+import org.pomeloladder.configuration.ServiceId
 import org.pomeloladder.configuration.SubscriberId
 import org.pomeloladder.configuration.Verdict
 import org.pomeloladder.configuration.VmId
@@ -111,6 +112,9 @@
     var isStartConfirmed = true
     var nextAttempt = 0L
 
+    /** When this process last routed a long prompt, for each service that had one. */
+    val longPromptRoutedMs = HashMap<ServiceId, Long>()
+
     /** Mean of the usage of all subscribers with usage, as of the last scan. */
     var meanUsageTokens = 0.0
 }
--- a/decisions/src/test/kotlin/org/pomeloladder/decisions/RealRoutePolicyTest.kt
+++ b/decisions/src/test/kotlin/org/pomeloladder/decisions/RealRoutePolicyTest.kt
@@ -16,8 +16,10 @@
         list(listOf(entryVm("norte-1")), List(4) { server("engine-$it") })
     }
 
-    private fun serverOf(id: String): BackendServer {
-        val start = test.tick(RequestArrived(request(id))).filterIsInstance<StartAttempt>().single()
+    private fun serverOf(id: String) = serverOf(request(id))
+
+    private fun serverOf(spec: RequestSpec): BackendServer {
+        val start = test.tick(RequestArrived(spec)).filterIsInstance<StartAttempt>().single()
         test.tick(AttemptEnded(start.attempt, AttemptOutcome.Completed(outputTokens = 5)))
         return checkNotNull(test.world.backends[start.server.id])
     }
@@ -40,6 +42,30 @@
         expectThat(serverOf("r2").id).isNotEqualTo(first.id)
     }
 
+    @Test
+    fun `short work keeps off the servers that process long prompts`() {
+        test.world.backends.forEach { it.serviceMsPerCostToken = 1.0 }
+        val long = List(8) { request("l$it", promptTokens = 10_000 + it) }
+        val short = List(8) { request("s$it", promptTokens = 10 + it) }
+
+        val longServers = long.map { serverOf(it).id }.toSet()
+        val shortServers = short.map { serverOf(it).id }.toSet()
+
+        expectThat(longServers.intersect(shortServers)).hasSize(0)
+        expectThat(shortServers.size).isGreaterThan(1)
+    }
+
+    @Test
+    fun `servers for long prompts are not kept idle once there are no long prompts`() {
+        test.world.backends.forEach { it.serviceMsPerCostToken = 1.0 }
+        serverOf(request("long", promptTokens = 10_000))
+        test.advance(10_000)
+
+        val used = List(40) { serverOf(request("s$it", promptTokens = 10 + it)).id }.toSet()
+
+        expectThat(used).hasSize(4)
+    }
+
     @Test
     fun `a burst between two heartbeats does not all go to the same server of a peer`() {
         test.list(
