Start the slopes experiment: control traffic, CPU time, heap and fold

Change: `scripts/bench slopes` runs control worlds of one failure domain on a simulated clock, with messages encoded by FrameCodec.

--- a/bench/src/main/kotlin/org/pomeloladder/bench/Bench.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/Bench.kt
@@ -14,6 +14,9 @@
 
 private const val NAME_COLUMNS = 18
 
+/** Has no policy, baseline or target, so it is not an [Experiment]. */
+private const val SLOPES = "slopes"
+
 /** All experiments, in the order of the design page. */
 internal val experiments: List<Experiment> = listOf(
     HeavyUserExperiment(),
@@ -25,7 +28,6 @@
     ConfigExperiment(),
     DrainExperiment(),
     OverheadExperiment(),
-    // `slopes` (control cost against the size of the fleet) goes here.
 )
 
 private class Bench : CliktCommand(name = "bench") {
@@ -36,6 +38,13 @@
         val wanted = name
         if (wanted == null) {
             experiments.forEach { echo("${it.name.padEnd(NAME_COLUMNS)} ${it.summary}") }
+            echo("${SLOPES.padEnd(NAME_COLUMNS)} control cost against the size of the fleet")
+            return
+        }
+        if (wanted == SLOPES) {
+            val report = Slopes(seed).run()
+            echo(report.toTable(seed))
+            echo(report.toJson(seed))
             return
         }
         val experiment = experiments.firstOrNull { it.name == wanted }
--- /dev/null
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/ControlFleet.kt
@@ -0,0 +1,227 @@
+/*
+ * The control worlds of one failure domain on one simulated clock, with the bytes of every control message as the peer
+ * module encodes it. Other domains are not run: one summary a second arrives from each.
+ */
+package org.pomeloladder.bench
+
+import kotlin.random.Random
+import org.pomeloladder.configuration.Address
+import org.pomeloladder.configuration.ApiKeyHash
+import org.pomeloladder.configuration.BackendServerId
+import org.pomeloladder.configuration.BackendServerList
+import org.pomeloladder.configuration.BackendServerRecord
+import org.pomeloladder.configuration.ConfigSequence
+import org.pomeloladder.configuration.ConfigSnapshot
+import org.pomeloladder.configuration.ConfigVersion
+import org.pomeloladder.configuration.Configuration
+import org.pomeloladder.configuration.EntryVmList
+import org.pomeloladder.configuration.EntryVmRecord
+import org.pomeloladder.configuration.FailureDomainId
+import org.pomeloladder.configuration.ModelId
+import org.pomeloladder.configuration.Region
+import org.pomeloladder.configuration.RegionId
+import org.pomeloladder.configuration.Service
+import org.pomeloladder.configuration.ServiceId
+import org.pomeloladder.configuration.Subscriber
+import org.pomeloladder.configuration.SubscriberGroup
+import org.pomeloladder.configuration.SubscriberGroupId
+import org.pomeloladder.configuration.SubscriberId
+import org.pomeloladder.configuration.VmId
+import org.pomeloladder.decisions.ConfigRead
+import org.pomeloladder.decisions.ControlMessage
+import org.pomeloladder.decisions.DomainSummaries
+import org.pomeloladder.decisions.DomainSummary
+import org.pomeloladder.decisions.Event
+import org.pomeloladder.decisions.Heartbeat
+import org.pomeloladder.decisions.Incarnation
+import org.pomeloladder.decisions.NoJournal
+import org.pomeloladder.decisions.PeerControl
+import org.pomeloladder.decisions.Scheduler
+import org.pomeloladder.decisions.Self
+import org.pomeloladder.decisions.SendControl
+import org.pomeloladder.decisions.ServiceLoad
+import org.pomeloladder.decisions.VmListRead
+import org.pomeloladder.decisions.World
+import org.pomeloladder.decisions.systems
+import org.pomeloladder.peer.FrameCodec
+
+private const val FRAME_LENGTH_BYTES = 4
+private const val STEP_MS = 50L
+private const val LOAD_CHANGE_MS = 500L
+private const val SUMMARY_MS = 1_000L
+private const val DOMAINS_PER_REGION = 3
+private const val KEY_HASH_CHARACTERS = 64
+private val address = Address("10.20.30.40", 8_443)
+
+/** How large a fleet is. [vms] and [servers] are those of one failure domain. */
+data class FleetSize(
+    val vms: Int = 8,
+    val servers: Int = 200,
+    val domains: Int = 56,
+    val services: Int = 9,
+    val subscribers: Int = 270,
+)
+
+private fun domainId(at: Int) = FailureDomainId("region-${at / DOMAINS_PER_REGION}-domain-$at")
+
+internal fun vmId(domain: Int, at: Int) = VmId("entry-$domain-$at")
+
+internal fun subscriberId(at: Int) = SubscriberId("organisation-$at")
+
+internal fun serviceId(at: Int) = ServiceId("assistant-$at")
+
+internal fun FleetSize.configuration(): Configuration {
+    val regions = (0 until domains).groupBy { RegionId("region-${it / DOMAINS_PER_REGION}") }
+    val group = SubscriberGroupId("group-0")
+    val serviceIds = (0 until services).map(::serviceId)
+    val hash = setOf(ApiKeyHash("0".repeat(KEY_HASH_CHARACTERS)))
+    return Configuration(
+        regions = regions.mapValues { (_, at) -> Region(at.mapTo(HashSet(), ::domainId)) },
+        groups = mapOf(group to SubscriberGroup(serviceIds.toSet(), regions.keys)),
+        services = serviceIds.associateWith { Service.LanguageModel(ModelId("model-$it")) },
+        subscribers = (0 until subscribers).associate {
+            subscriberId(it) to Subscriber(group, hash)
+        },
+    )
+}
+
+internal fun FleetSize.entryVms() = (0 until domains).flatMap { domain ->
+    (0 until vms).map { EntryVmRecord(vmId(domain, it), domainId(domain), address, address) }
+}
+
+internal fun FleetSize.backends(concurrency: Int = 8) = (0 until servers).map { at ->
+    val services = setOf(serviceId(at % services))
+    BackendServerRecord(
+        BackendServerId("engine-0-$at"),
+        domainId(0),
+        address,
+        services,
+        concurrency,
+    )
+}
+
+/** One control world of domain 0 with its VM lists and configuration read. */
+internal class ControlProcess(size: FleetSize, at: Int, seed: Long, concurrency: Int = 8) {
+    val world = World(Self(vmId(0, at), Incarnation(1), domainId(0), address, address))
+    val scheduler = Scheduler(world, systems(), Random(seed + at), NoJournal)
+
+    init {
+        val configuration = size.configuration()
+        val snapshot = ConfigSnapshot(ConfigSequence(1), ConfigVersion(1), configuration)
+        val lists = VmListRead(
+            EntryVmList(1, size.entryVms()),
+            BackendServerList(1, domainId(0), size.backends(concurrency)),
+        )
+        scheduler.tick(0, listOf(ConfigRead(snapshot, emptyList()), lists))
+    }
+}
+
+/** Bytes of one node, by message and direction. */
+internal class NodeBytes {
+    var heartbeatsSent = 0L
+    var heartbeatsReceived = 0L
+    var summariesSent = 0L
+    var summariesReceived = 0L
+
+    val total: Long
+        get() = heartbeatsSent + heartbeatsReceived + summariesSent + summariesReceived
+}
+
+/** All entry processes of one failure domain. The load of every backend server changes before every heartbeat. */
+internal class ControlFleet(private val size: FleetSize, seed: Long) {
+    private val random = Random(seed)
+    private val processes = (0 until size.vms).associate {
+        vmId(0, it) to ControlProcess(size, it, seed)
+    }
+    private val inboxes = processes.keys.associateWith { ArrayList<Event>() }
+    private var reporters = listOf(vmId(0, 0))
+    private var nowMs = 0L
+    private var sequence = 0L
+    var bytes = processes.keys.associateWith { NodeBytes() }
+        private set
+
+    fun advance(byMs: Long) {
+        val until = nowMs + byMs
+        while (nowMs < until) {
+            nowMs += STEP_MS
+            if (nowMs % LOAD_CHANGE_MS == 0L) processes.values.forEach { changeLoads(it.world) }
+            if (nowMs % SUMMARY_MS == 0L) (1 until size.domains).forEach(::receiveSummary)
+            for ((id, process) in processes) tick(id, process)
+        }
+    }
+
+    fun resetBytes() {
+        bytes = processes.keys.associateWith { NodeBytes() }
+    }
+
+    private fun tick(id: VmId, process: ControlProcess) {
+        val inbox = inboxes.getValue(id)
+        val events = inbox.toList()
+        inbox.clear()
+        val sent = process.scheduler.tick(nowMs, events).commands.filterIsInstance<SendControl>()
+        sent.forEach { deliver(id, it) }
+        val isReporter = sent.any { it.message is DomainSummaries && it.to !in processes }
+        if (isReporter && id !in reporters) reporters = (reporters + id).takeLast(2)
+    }
+
+    private fun deliver(from: VmId, command: SendControl) {
+        val frameBytes = command.message.frameBytes()
+        count(command.message, frameBytes, bytes.getValue(from), isSent = true)
+        val receiver = bytes[command.to] ?: return
+        count(command.message, frameBytes, receiver, isSent = false)
+        inboxes.getValue(command.to) += PeerControl(from, command.message)
+    }
+
+    private fun count(message: ControlMessage, frameBytes: Int, node: NodeBytes, isSent: Boolean) {
+        when (message) {
+            is Heartbeat ->
+                if (isSent) {
+                    node.heartbeatsSent += frameBytes
+                } else {
+                    node.heartbeatsReceived +=
+                        frameBytes
+                }
+            else ->
+                if (isSent) {
+                    node.summariesSent += frameBytes
+                } else {
+                    node.summariesReceived +=
+                        frameBytes
+                }
+        }
+    }
+
+    /** Half of the services changed, and one summary of eight carries the list of serving VMs. */
+    private fun receiveSummary(domain: Int) {
+        sequence += 1
+        val changed = (0 until size.services).filter { random.nextBoolean() }
+        val hasVms = random.nextInt(8) == 0
+        val summary = DomainSummary(
+            domain = domainId(domain),
+            sequence = sequence,
+            position = ConfigSequence(1),
+            services = changed.map { ServiceLoad(serviceId(it), 160, random.nextInt(160), 8, 250) },
+            servingVms = if (hasVms) (0 until size.vms).map { vmId(domain, it) } else null,
+        )
+        val message = DomainSummaries(listOf(summary), entryListRevision = 1)
+        val to = reporters[((nowMs / SUMMARY_MS + domain) % reporters.size).toInt()]
+        count(message, message.frameBytes(), bytes.getValue(to), isSent = false)
+        inboxes.getValue(to) += PeerControl(vmId(domain, 0), message)
+    }
+
+    private fun changeLoads(world: World) {
+        for (row in world.backends) {
+            if (row.owner != world.self.vm) continue
+            row.windowSize = 8
+            row.inFlight = random.nextInt(9)
+            row.queued = random.nextInt(4)
+            row.queuedCostTokens = random.nextLong(8_000)
+            row.firstTokenMs = random.nextDouble(1_000.0)
+            row.serviceMsPerCostToken = random.nextDouble(2.0)
+            row.firstTokenMsPerToken = random.nextDouble(1.0)
+            row.betweenTokensMs = random.nextDouble(40.0)
+        }
+    }
+}
+
+private fun ControlMessage.frameBytes() = FrameCodec.encode(this).size + FRAME_LENGTH_BYTES
--- a/peer/src/main/kotlin/org/pomeloladder/peer/FrameCodec.kt
+++ b/peer/src/main/kotlin/org/pomeloladder/peer/FrameCodec.kt
@@ -15,6 +15,7 @@
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
+import org.pomeloladder.decisions.ControlMessage
 
 /** Largest frame: a configuration value of 1 MB with room for its envelope. */
 const val MAX_FRAME_BYTES = 2 * 1024 * 1024
@@ -26,6 +27,9 @@
 
     fun encode(frame: Frame): ByteArray = cbor.encodeToByteArray(frame)
 
+    /** The frame of a control message, without its length. */
+    fun encode(message: ControlMessage): ByteArray = encode(ControlFrame(message))
+
     /** @throws IOException if [bytes] are not a frame. */
     fun decode(bytes: ByteArray): Frame = try {
         cbor.decodeFromByteArray(bytes)
