--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Messages.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Messages.kt
@@ -21,36 +21,42 @@
 @Serializable
 sealed interface ControlMessage
 
-/** Sent to every entry VM of the own failure domain at a fixed interval. */
+/**
+ * Sent to every entry VM of the own failure domain at a fixed interval. Short field names keep it small, because it names
+ * every server of its sender twice a second.
+ */
 @Serializable
 @SerialName("heartbeat")
 data class Heartbeat(
-    val incarnation: Incarnation,
-    val epoch: Long,
-    val position: ConfigPosition?,
-    val isDraining: Boolean,
-    val heard: List<VmId>,
-    val servers: List<ServerLoad>,
-    val leavingServers: List<BackendServerId>,
-    val heaviest: List<SubscriberLoad>,
-    val entryListRevision: Long,
-    val serverListRevision: Long,
+    @SerialName("i") val incarnation: Incarnation,
+    @SerialName("e") val epoch: Long,
+    @SerialName("p") val position: ConfigPosition?,
+    @SerialName("d") val isDraining: Boolean,
+    @SerialName("h") val heard: List<VmId>,
+    @SerialName("s") val servers: List<ServerLoad>,
+    @SerialName("l") val leavingServers: List<BackendServerId>,
+    @SerialName("u") val heaviest: List<SubscriberLoad>,
+    @SerialName("a") val entryListRevision: Long,
+    @SerialName("b") val serverListRevision: Long,
 ) : ControlMessage
 
-/** Load of one backend server as its owner knows it. Milliseconds are rounded moving averages. */
+/**
+ * Load of one backend server as its owner knows it. Milliseconds are moving averages. A server without work and without
+ * failures needs few bytes, because the defaults are not sent.
+ */
 @Serializable
 data class ServerLoad(
-    val server: BackendServerId,
-    val window: Int,
-    val inFlight: Int,
-    val queued: Int,
-    val costTokens: Long,
-    val firstTokenMs: Int,
-    val isEjected: Boolean,
-    val reportedLoad: Int = 0,
-    val msPerCostToken: Double = 0.0,
-    val firstTokenMsPerToken: Double = 0.0,
-    val betweenTokensMs: Double = 0.0,
+    @SerialName("s") val server: BackendServerId,
+    @SerialName("w") val window: Int,
+    @SerialName("i") val inFlight: Int = 0,
+    @SerialName("q") val queued: Int = 0,
+    @SerialName("c") val costTokens: Long = 0,
+    @SerialName("f") val firstTokenMs: Int = 0,
+    @SerialName("e") val isEjected: Boolean = false,
+    @SerialName("r") val reportedLoad: Int = 0,
+    @SerialName("m") val msPerCostToken: Double = 0.0,
+    @SerialName("t") val firstTokenMsPerToken: Double = 0.0,
+    @SerialName("b") val betweenTokensMs: Double = 0.0,
 )
 
 /** Decayed usage of one heavy subscriber at the sender. */
