End every command of the tool with an exit code and one line

Cause: the daemon leaves nulls out of its JSON and the tool demanded them, so `config status` failed on every answer with a null. A 401 came without a challenge, which Jetty's client treats as a protocol violation: the tool ended with a stack trace and kept its client threads.

Change: the tool reads a missing field as null, sees 401 answers itself, turns failed connections into answers, and exits on every path (new code 6 for a fault of the tool). Both listeners send WWW-Authenticate: Bearer. Daemons of the demo end with it.

Conclusion: check, diff and explain had the same fault and are tested.

--- a/bench/src/main/kotlin/org/pomeloladder/bench/Demo.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/Demo.kt
@@ -17,6 +17,9 @@
         subscriber("krabia-staff", listOf("bratislava"))
     }
     Cluster(spec).use { cluster ->
+        // The daemons are processes of their own and outlive a demo that is ended by a signal.
+        val end = Thread { cluster.daemons.values.forEach(DaemonProcess::close) }
+        Runtime.getRuntime().addShutdownHook(end)
         cluster.start()
         println("started ${cluster.daemons.size} entry VMs in ${REGIONS.size} regions")
         Demo(cluster).run()
--- a/cli/src/main/kotlin/org/pomeloladder/cli/AdministrationClient.kt
+++ b/cli/src/main/kotlin/org/pomeloladder/cli/AdministrationClient.kt
@@ -3,6 +3,8 @@
  */
 package org.pomeloladder.cli
 
+import java.util.concurrent.ExecutionException
+import java.util.concurrent.TimeoutException
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.eclipse.jetty.client.HttpClient
@@ -32,21 +34,24 @@
     fun send(address: String, key: String, method: Method, path: String, body: String?): Answer
 }
 
-/** Ignores fields that a newer daemon adds. */
+/** Ignores fields that a newer daemon adds, and reads a missing field as null, because the daemon writes no nulls. */
 internal val cliJson = Json {
     ignoreUnknownKeys = true
+    explicitNulls = false
     prettyPrint = true
 }
 
 /** [AdministrationClient] over HTTP. */
 class HttpAdministrationClient : AdministrationClient {
     private val http by lazy {
-        JettyClient(
-            HttpClient().apply {
-                connectTimeout = CONNECT_TIMEOUT_MS
-                idleTimeout = IDLE_TIMEOUT_MS
-            },
-        )
+        val client = HttpClient().apply {
+            connectTimeout = CONNECT_TIMEOUT_MS
+            idleTimeout = IDLE_TIMEOUT_MS
+        }
+        val http = JettyClient(client)
+        // Jetty's own handling of 401 fails the call when the answer has no challenge, and hides the typed error.
+        client.protocolHandlers.clear()
+        http
     }
 
     override fun send(
@@ -59,7 +64,15 @@
         val request = Request(method, "http://$address$path")
             .header("Authorization", "Bearer $key")
             .body(body.orEmpty())
-        val response = http(request)
+        val response = try {
+            http(request)
+        } catch (e: ExecutionException) {
+            return Answer.None(firstLine(e.cause ?: e))
+        } catch (_: TimeoutException) {
+            return Answer.None("timeout")
+        } catch (e: IllegalArgumentException) {
+            return Answer.None(firstLine(e))
+        }
         val text = response.bodyString()
         if (response.status.successful) return Answer.Success(text)
         // http4k reports a failed connection as a status of its own, without a typed body.
@@ -67,6 +80,9 @@
         return Answer.Refused(response.status.code, error)
     }
 
+    private fun firstLine(cause: Throwable): String =
+        (cause.message ?: cause.javaClass.simpleName).lineSequence().first()
+
     private fun errorOf(text: String): ErrorDetail? = try {
         cliJson.decodeFromString<ErrorAnswer>(text).error
     } catch (_: SerializationException) {
--- a/cli/src/main/kotlin/org/pomeloladder/cli/EntryCommand.kt
+++ b/cli/src/main/kotlin/org/pomeloladder/cli/EntryCommand.kt
@@ -13,9 +13,12 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
 import org.http4k.core.Method
 
-private val ADDRESS = Regex(".+:\\d{1,5}")
+private val ADDRESS = Regex("[^\\s/@?#]+:(\\d{1,5})")
+private const val MAX_PORT = 65_535
+private const val NOT_FOUND = 404
 
 /** The answer of the entry VM at [address]. */
 internal class Answered(val address: String, val answer: Answer)
@@ -51,7 +54,7 @@
                     "name an entry VM by --entry or POMELOLADDER_ENTRIES",
                 )
             }
-            found.firstOrNull { !ADDRESS.matches(it) }?.let {
+            found.firstOrNull { !isAddress(it) }?.let {
                 throw UsageError("not an address HOST:PORT: \"$it\"")
             }
             return found
@@ -74,15 +77,32 @@
         noAnswer(failed)
     }
 
-    /** Asks all entry VMs. Ends the command when none answers. */
+    /**
+     * Asks all entry VMs. Ends the command when none gives an answer that can be shown. A 404 is one: it says that this
+     * entry VM does not have the row.
+     */
     internal fun askAll(path: String): List<Answered> {
         val answers = addresses.map {
             Answered(it, client.send(it, key, Method.GET, path, null))
         }
-        if (answers.all { it.answer is Answer.None }) noAnswer(answers)
+        val refused = answers.firstNotNullOfOrNull { answered ->
+            (answered.answer as? Answer.Refused)?.let { answered.address to it }
+        }
+        if (answers.none { isShown(it.answer) }) {
+            if (refused == null) noAnswer(answers)
+            refused(refused.first, refused.second)
+        }
         return answers
     }
 
+    private fun isShown(answer: Answer): Boolean =
+        answer is Answer.Success || (answer is Answer.Refused && answer.status == NOT_FOUND)
+
+    private fun isAddress(text: String): Boolean {
+        val port = ADDRESS.matchEntire(text)?.groupValues?.last()?.toInt()
+        return port != null && port in 1..MAX_PORT
+    }
+
     /** Ends the command with the typed error of an entry VM. */
     protected fun refused(address: String, answer: Answer.Refused): Nothing {
         echo("$address answered ${answer.status} ${describe(answer)}", err = true)
@@ -99,6 +119,11 @@
     internal inline fun <reified T> read(body: String): T = try {
         cliJson.decodeFromString<T>(body)
     } catch (_: SerializationException) {
+        unexpectedShape()
+    }
+
+    /** Ends the command when an answer is not what the tool expects. */
+    protected fun unexpectedShape(): Nothing {
         echo(
             "the answer has an unexpected shape; tool and daemon may differ in version",
             err = true,
@@ -106,22 +131,32 @@
         throw ProgramResult(ExitCode.REFUSED)
     }
 
+    // The parser takes a single word, such as the start of an HTML page, for a literal.
+    private fun readTree(body: String): JsonElement =
+        read<JsonElement>(body).also { if (it is JsonPrimitive) unexpectedShape() }
+
     /** Writes [body] as indented JSON. */
     protected fun echoJson(body: JsonElement) =
         echo(cliJson.encodeToString(JsonElement.serializer(), body))
 
     /** Writes the JSON text [body], indented. */
-    protected fun echoJson(body: String) = echoJson(cliJson.parseToJsonElement(body))
+    protected fun echoJson(body: String) = echoJson(readTree(body))
 
     /** Writes one JSON object with the answer of each address; errors are objects with an `error`. */
     internal fun echoJsonOfAll(answers: List<Answered>) =
-        echoJson(JsonObject(answers.associate { it.address to it.answer.toJson() }))
+        echoJson(JsonObject(answers.associate { it.address to json(it.answer) }))
+
+    private fun json(answer: Answer): JsonElement = when (answer) {
+        is Answer.Success -> readTree(answer.body)
+        is Answer.Refused -> JsonObject(mapOf("error" to JsonPrimitive(answer.error.reason)))
+        is Answer.None -> JsonObject(mapOf("error" to JsonPrimitive("no answer: ${answer.cause}")))
+    }
 
     private fun noAnswer(answers: List<Answered>): Nothing {
-        echo("no entry VM answers:", err = true)
-        answers.forEach {
-            echo("  ${it.address}: ${(it.answer as? Answer.None)?.cause}", err = true)
+        val causes = answers.joinToString("; ") {
+            "${it.address}: ${(it.answer as? Answer.None)?.cause}"
         }
+        echo("no entry VM answers: $causes", err = true)
         throw ProgramResult(ExitCode.NO_ANSWER)
     }
 }
--- a/cli/src/main/kotlin/org/pomeloladder/cli/Main.kt
+++ b/cli/src/main/kotlin/org/pomeloladder/cli/Main.kt
@@ -28,6 +28,9 @@
 
     /** Some entry VM lags, or some did not answer. */
     const val PARTIAL = 5
+
+    /** A fault of the tool itself. */
+    const val FAULT = 6
 }
 
 /** The root command; subcommands do the work. */
@@ -39,7 +42,7 @@
         (comma-separated HOST:PORT) and POMELOLADDER_KEY.
 
         Exit codes: 0 done, 1 wrong usage, 2 patch or settings not valid, 3 no entry VM answered, 4 an entry VM answered
-        with an error, 5 some entry VM lags or did not answer.
+        with an error, 5 some entry VM lags or did not answer, 6 a fault of the tool itself.
     """.trimIndent()
 
     override fun helpEpilog(context: Context) = examples(
@@ -69,9 +72,21 @@
     )
 
 fun main(arguments: Array<String>) {
-    pomeloladder().main(arguments)
-    // The HTTP client keeps threads that would hold the process.
-    exitProcess(ExitCode.OK)
+    // The HTTP client keeps threads that would hold the process, so every path ends in an exit.
+    exitProcess(run(arguments))
+}
+
+/** Runs one command line with [client] and returns the exit code. Clikt exits by itself on errors of its own. */
+internal fun run(
+    arguments: Array<String>,
+    client: AdministrationClient = HttpAdministrationClient(),
+): Int = try {
+    pomeloladder(client).main(arguments)
+    ExitCode.OK
+} catch (@Suppress("TooGenericExceptionCaught") e: Exception) {
+    // The last resort: a fault that no command expects must not leave the process hanging on the client's threads.
+    System.err.println("fault of the tool: ${e.toString().lineSequence().first()}")
+    ExitCode.FAULT
 }
 
 /** Example lines for the end of a help page. */
--- a/cli/src/main/kotlin/org/pomeloladder/cli/StateCommands.kt
+++ b/cli/src/main/kotlin/org/pomeloladder/cli/StateCommands.kt
@@ -8,9 +8,6 @@
 import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.parameters.arguments.argument
 import java.net.URLEncoder
-import kotlinx.serialization.json.JsonElement
-import kotlinx.serialization.json.JsonObject
-import kotlinx.serialization.json.JsonPrimitive
 import org.http4k.core.Method
 import org.pomeloladder.daemon.BackendStatus
 import org.pomeloladder.daemon.DrainAnswer
@@ -169,10 +166,3 @@
         is Answer.None -> echo("${it.address}: no answer: ${answer.cause}", err = true)
     }
 }
-
-/** The answer for `--json`; failures are objects with an `error`. */
-internal fun Answer.toJson(): JsonElement = when (this) {
-    is Answer.Success -> cliJson.parseToJsonElement(body)
-    is Answer.Refused -> JsonObject(mapOf("error" to JsonPrimitive(error.reason)))
-    is Answer.None -> JsonObject(mapOf("error" to JsonPrimitive("no answer: $cause")))
-}
--- /dev/null
+++ b/cli/src/test/kotlin/org/pomeloladder/cli/PomeloladderTest.kt
@@ -0,0 +1,125 @@
+package org.pomeloladder.cli
+
+import com.github.ajalt.clikt.testing.CliktCommandTestResult
+import com.github.ajalt.clikt.testing.test
+import java.io.File
+import java.net.ServerSocket
+import kotlinx.serialization.encodeToString
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.http4k.server.Jetty
+import org.http4k.server.asServer
+import org.junit.jupiter.api.Test
+import org.pomeloladder.daemon.ConfigurationStatus
+import org.pomeloladder.daemon.ErrorDetail
+import org.pomeloladder.daemon.PatchCheck
+import org.pomeloladder.daemon.PeerConfiguration
+import org.pomeloladder.daemon.RowChange
+import org.pomeloladder.daemon.TraceAnswer
+import org.pomeloladder.daemon.TraceStepStatus
+import org.pomeloladder.daemon.daemonJson
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+
+class PomeloladderTest {
+    private val patch = File.createTempFile("patch", ".json").apply {
+        deleteOnExit()
+        writeText("{}")
+    }
+
+    @Test
+    fun `config status reads an answer whose nulls the daemon leaves out`() {
+        val peer = PeerConfiguration("ba-2", "ba", null, null, null, 5)
+        val status = ConfigurationStatus(
+            "ba-1", null, null, null, 0, null, false, true, listOf(peer), emptyList(),
+        )
+
+        val result = run("config status", Answer.Success(daemonJson.encodeToString(status)))
+
+        expectThat(result.output).contains("no configuration")
+        expectThat(result.statusCode).isEqualTo(ExitCode.OK)
+    }
+
+    @Test
+    fun `check and diff read a refused patch and a new row, whose nulls the daemon leaves out`() {
+        val change = RowChange("groups.cafes", null, null)
+        val check = PatchCheck("conflict", base = 1, inForce = 2, changes = listOf(change))
+        val answer = Answer.Success(daemonJson.encodeToString(check))
+
+        expectThat(run("config diff ${patch.path}", answer).output).contains("groups.cafes")
+        expectThat(run("config check ${patch.path}", answer).statusCode)
+            .isEqualTo(ExitCode.INVALID)
+    }
+
+    @Test
+    fun `explain reads a step without target, which the daemon leaves out`() {
+        val step = TraceStepStatus(3, "refused", null, "queue-full")
+        val trace = TraceAnswer("ba-1", "r1", null, null, listOf(step))
+
+        val result = run("explain r1", Answer.Success(daemonJson.encodeToString(trace)))
+
+        expectThat(result.output).contains("queue-full")
+        expectThat(result.statusCode).isEqualTo(ExitCode.OK)
+    }
+
+    @Test
+    fun `a wrong key ends each command with one line and the documented code`() {
+        val refused = Answer.Refused(401, ErrorDetail("unauthorized", "not-run"))
+        for (command in COMMANDS) {
+            val result = run(command.replace("PATCH", patch.path), refused)
+
+            expectThat(result.statusCode).isEqualTo(ExitCode.REFUSED)
+            expectThat(result.output.trim()).isEqualTo("$ENTRY answered 401 unauthorized")
+        }
+    }
+
+    @Test
+    fun `entry VMs that do not answer end each command with one line and the documented code`() {
+        for (command in COMMANDS) {
+            val result = run(command.replace("PATCH", patch.path), Answer.None("refused"))
+
+            expectThat(result.statusCode).isEqualTo(ExitCode.NO_ANSWER)
+            expectThat(result.output.trim()).isEqualTo("no entry VM answers: $ENTRY: refused")
+        }
+    }
+
+    @Test
+    fun `an answer that is no JSON and a port out of range are not left to a stack trace`() {
+        val broken = run("usage --json", Answer.Success("<html>"))
+        val outOfRange = pomeloladder().test("usage --entry 127.0.0.1:99999")
+
+        expectThat(broken.statusCode).isEqualTo(ExitCode.REFUSED)
+        expectThat(outOfRange.statusCode).isEqualTo(ExitCode.USAGE)
+    }
+
+    @Test
+    fun `a 401 without a challenge and a closed port are answers, not exceptions of the client`() {
+        val unauthorized: HttpHandler = {
+            Response(Status.UNAUTHORIZED)
+                .body("""{"error":{"reason":"unauthorized","run":"not-run"}}""")
+        }
+        val port = ServerSocket(0).use { it.localPort }
+        val client = HttpAdministrationClient()
+        fun ask() = client.send("127.0.0.1:$port", "wrong", Method.GET, "/v1/usage", null)
+
+        expectThat(ask()).isA<Answer.None>()
+        unauthorized.asServer(Jetty(port)).start().use {
+            expectThat(ask()).isA<Answer.Refused>().get { status }.isEqualTo(401)
+        }
+    }
+
+    private fun run(command: String, answer: Answer): CliktCommandTestResult =
+        pomeloladder { _, _, _, _, _ -> answer }.test("$command --entry $ENTRY --key k")
+
+    private companion object {
+        const val ENTRY = "10.0.1.1:9090"
+        val COMMANDS = listOf(
+            "config status", "config status --json", "config check PATCH", "config diff PATCH",
+            "entries", "backends", "usage", "usage --json", "drain", "explain r1",
+        )
+    }
+}
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/ErrorResponses.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/ErrorResponses.kt
@@ -18,9 +18,16 @@
 /** A typed error that is about the HTTP request itself and ran nothing. */
 internal fun errorResponse(status: Status, reason: String, detail: String): Response {
     val body = ErrorAnswer(ErrorDetail(reason, RunState.NOT_RUN.code, detail))
-    return Response(status)
+    return errorResponse(status, body)
+}
+
+/** HTTP asks for a challenge with each 401; HTTP clients such as Jetty's fail the call without it. */
+private fun errorResponse(status: Status, body: ErrorAnswer): Response {
+    val response = Response(status)
         .header("Content-Type", "application/json")
         .body(daemonJson.encodeToString(body))
+    if (status != Status.UNAUTHORIZED) return response
+    return response.header("WWW-Authenticate", "Bearer")
 }
 
 /** Gives typed JSON where no route matched, and where the control thread did not answer in time. */
@@ -68,9 +75,7 @@
     val body = ErrorAnswer(
         ErrorDetail(reason.code, runState.code, detail, request?.value, retryAfterMs, homeToken),
     )
-    val response = Response(statusOf(reason))
-        .header("Content-Type", "application/json")
-        .body(daemonJson.encodeToString(body))
+    val response = errorResponse(statusOf(reason), body)
     val retryMs = retryAfterMs ?: return response
     val seconds = (retryMs + MS_PER_SECOND - 1) / MS_PER_SECOND
     return response.header("Retry-After", seconds.toString())
--- a/daemon/src/test/kotlin/org/pomeloladder/daemon/AdministrationApiTest.kt
+++ b/daemon/src/test/kotlin/org/pomeloladder/daemon/AdministrationApiTest.kt
@@ -68,6 +68,7 @@
 
         expectThat(response.status).isEqualTo(Status.UNAUTHORIZED)
         expectThat(response.reason()).isEqualTo("unauthorized")
+        expectThat(response.header("WWW-Authenticate")).isEqualTo("Bearer")
     }
 
     @Test
