--- a/cli/src/main/kotlin/org/pomeloladder/cli/EntryCommand.kt
+++ b/cli/src/main/kotlin/org/pomeloladder/cli/EntryCommand.kt
@@ -95,8 +95,11 @@
         return answers
     }
 
-    private fun isShown(answer: Answer): Boolean =
-        answer is Answer.Success || (answer is Answer.Refused && answer.status == NOT_FOUND)
+    private fun isShown(answer: Answer): Boolean = answer is Answer.Success || isNotFound(answer)
+
+    /** Whether the entry VM does not have the row that the command asks for. */
+    protected fun isNotFound(answer: Answer): Boolean =
+        answer is Answer.Refused && answer.status == NOT_FOUND
 
     private fun isAddress(text: String): Boolean {
         val port = ADDRESS.matchEntire(text)?.groupValues?.last()?.toInt()
--- a/cli/src/main/kotlin/org/pomeloladder/cli/StateCommands.kt
+++ b/cli/src/main/kotlin/org/pomeloladder/cli/StateCommands.kt
@@ -142,7 +142,8 @@
         if (isJson) echoJsonOfAll(answers) else traces.forEach(::show)
         if (traces.isNotEmpty()) return
         if (!isJson) {
-            warnOfFailures(answers)
+            // A 404 is what the line below says.
+            warnOfFailures(answers.filterNot { isNotFound(it.answer) })
             echo("no entry VM that was asked remembers request $requestId", err = true)
         }
         throw ProgramResult(ExitCode.REFUSED)
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/SettingsReader.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/SettingsReader.kt
@@ -28,7 +28,8 @@
     val root = try {
         Yaml.default.parseToYamlNode(yaml)
     } catch (e: YamlException) {
-        val found = "line ${e.line}: ${e.message}"
+        val detail = e.message.lineSequence().firstOrNull { it.isNotBlank() } ?: "a syntax error"
+        val found = "line ${e.line}: $detail"
         return SettingsResult.Invalid(listOf(SettingsProblem("(file)", "valid YAML", found)))
     }
     if (root !is YamlMap) {
