Test the caller API against a started listener

Cause: no test showed what a started listener does with malformed calls.

Change: the listener is a function of its own, and a test sends it oversized bodies, broken JSON, an unknown model, bad keys, unfinished headers, an unknown path and a wrong method, each followed by a good call.

Conclusion: each call gets typed JSON or a closed connection, and the following call is served.

--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/Daemon.kt
@@ -6,17 +6,7 @@
 import java.util.HexFormat
 import java.util.concurrent.CountDownLatch
 import kotlin.random.Random
-import org.eclipse.jetty.server.HttpConfiguration
-import org.eclipse.jetty.server.HttpConnectionFactory
-import org.eclipse.jetty.server.Server
-import org.eclipse.jetty.server.ServerConnector
-import org.eclipse.jetty.util.thread.QueuedThreadPool
-import org.http4k.core.HttpHandler
 import org.http4k.core.then
-import org.http4k.server.Http4kServer
-import org.http4k.server.Jetty
-import org.http4k.server.asServer
-import org.pomeloladder.configuration.Address
 import org.pomeloladder.configuration.BackendServerRecord
 import org.pomeloladder.decisions.DrainAsked
 import org.pomeloladder.decisions.Incarnation
@@ -82,6 +72,7 @@
     private val loads = LoadReader({ access.read { it.ownedServers() } }, control)
     private val callerServer = listener(
         settings.callers,
+        settings.limits,
         typedErrors().then(
             CallerApi(traffic, access, RequestIds(settings.vm, incarnation), settings.limits)
                 .handler(),
@@ -89,6 +80,7 @@
     )
     private val administrationServer = listener(
         settings.administration,
+        settings.limits,
         AdministrationApi(access, metrics, settings.administrationKeyHashes).handler(),
     )
 
@@ -123,18 +115,6 @@
         Runtime.getRuntime().halt(EXIT_BROKEN)
     }
 
-    private fun listener(address: Address, handler: HttpHandler): Http4kServer {
-        val server = Server(QueuedThreadPool(settings.limits.maxCallerThreads))
-        val http = HttpConfiguration().apply { sendServerVersion = false }
-        val connector = ServerConnector(server, HttpConnectionFactory(http)).apply {
-            host = address.host
-            port = address.port
-            idleTimeout = settings.limits.callerIdleTimeoutMs
-        }
-        server.addConnector(connector)
-        return handler.asServer(Jetty(address.port, server))
-    }
-
     companion object {
         /** Exit code after a broken invariant. */
         const val EXIT_BROKEN = 70
