--- a/bench/src/main/kotlin/org/pomeloladder/bench/DrainExperiment.kt
+++ b/bench/src/main/kotlin/org/pomeloladder/bench/DrainExperiment.kt
@@ -42,8 +42,8 @@
                 policy.restarts == ENTRY_VMS.toDouble() &&
                 policy.leavingMs <= MAX_LEAVING_MS,
             setup = listOf(
-                "1 domain, 4 entry VMs, $ENGINES engines, 20 ms a token; $PER_SECOND req/s for ${LOAD_MS / MS_PER_SECOND} s, " +
-                    "100 prompt and 50 output tokens",
+                "1 domain, 4 entry VMs, $ENGINES engines, 20 ms a token; $PER_SECOND req/s " +
+                    "for ${LOAD_MS / MS_PER_SECOND} s, 100 prompt and 50 output tokens",
                 "one engine leaves at 2 s; from 8 s on each daemon is stopped and started again",
                 "policy: SIGTERM; baseline: SIGKILL",
             ),
