Move the wording of an unsent attempt out of a nested branch

Change: a function of its own with one early return; behaviour is the same. Conclusion: the branch reads like its neighbours.

--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/CompletionSystem.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/CompletionSystem.kt
@@ -50,20 +50,8 @@
         request.attempts -= attempt.id
         when (val outcome = event.outcome) {
             is AttemptOutcome.Completed -> complete(world, tick, request, attempt.id)
-            is AttemptOutcome.NotSent -> {
-                val isOwnWord = attempt.place is Place.Forwarded && outcome.refusal.isByIngress
-                val refusal =
-                    if (isOwnWord) {
-                        world.provable(
-                            tick,
-                            attempt.spec,
-                            outcome.refusal,
-                        )
-                    } else {
-                        outcome.refusal
-                    }
-                world.afterLoss(tick, request, refusal)
-            }
+            is AttemptOutcome.NotSent ->
+                world.afterLoss(tick, request, refusalOf(world, tick, attempt, outcome))
             is AttemptOutcome.Failed -> {
                 if (request.winner == attempt.id) request.winner = null
                 request.deliveredTokens = maxOf(request.deliveredTokens, outcome.deliveredTokens)
@@ -73,6 +61,18 @@
         }
     }
 
+    /** What may be said of an attempt that was not sent; only the home of an order can prove that it has not run. */
+    private fun refusalOf(
+        world: World,
+        tick: Tick,
+        attempt: Attempt,
+        outcome: AttemptOutcome.NotSent,
+    ): Refusal {
+        val isOwnWord = attempt.place is Place.Forwarded && outcome.refusal.isByIngress
+        if (!isOwnWord) return outcome.refusal
+        return world.provable(tick, attempt.spec, outcome.refusal)
+    }
+
     private fun complete(world: World, tick: Tick, request: Request, winner: AttemptId) {
         cancelOthers(world, tick, request, winner)
         world.requests.remove(request.spec.id)
