--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/Daemon.kt
@@ -8,7 +8,9 @@
 import kotlin.random.Random
 import org.http4k.core.then
 import org.pomeloladder.configuration.BackendServerRecord
+import org.pomeloladder.decisions.Command
 import org.pomeloladder.decisions.DrainAsked
+import org.pomeloladder.decisions.Event
 import org.pomeloladder.decisions.Incarnation
 import org.pomeloladder.decisions.LogEvent
 import org.pomeloladder.decisions.Policies
@@ -18,6 +20,10 @@
 import org.pomeloladder.decisions.systems
 import org.pomeloladder.peer.PeerIdentity
 import org.pomeloladder.peer.RealPeerTransport
+import org.pomeloladder.runtime.ControlThread
+import org.pomeloladder.runtime.Metrics
+import org.pomeloladder.runtime.RealJournal
+import org.pomeloladder.runtime.RealMonotonicClock
 
 /** The servers that this process owns and may ask for their load. */
 private fun World.ownedServers(): List<BackendServerRecord> =
@@ -36,7 +42,7 @@
         HexFormat.of().parseHex(settings.sharedKeyHex),
     )
     private val transport = RealPeerTransport(identity, settings.peers)
-    private val metrics = Metrics(transport.meter)
+    private val metrics = Metrics(peerBytes(transport.meter))
     private val journal = RealJournal(metrics)
     private val stopped = CountDownLatch(1)
     private val self = Self(
@@ -52,7 +58,7 @@
         Random(incarnation.value xor settings.vm.hashCode().toLong()),
         journal,
     )
-    private val control: ControlThread = ControlThread(
+    private val control: ControlThread<World, Event, Command> = ControlThread(
         scheduler = scheduler,
         clock = RealMonotonicClock,
         metrics = metrics,
--- /dev/null
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/EventSink.kt
@@ -0,0 +1,20 @@
+/*
+ * The inbox of the subscriber gateway's control thread, and the byte counts that its metrics show.
+ */
+package org.pomeloladder.daemon
+
+import org.pomeloladder.decisions.Event
+import org.pomeloladder.peer.PeerTrafficMeter
+import org.pomeloladder.runtime.EventSinkOf
+import org.pomeloladder.runtime.PeerBytes
+
+/** Takes events of the subscriber gateway. */
+typealias EventSink = EventSinkOf<Event>
+
+/** The counts of [meter] for the metrics. */
+internal fun peerBytes(meter: PeerTrafficMeter): List<PeerBytes> = listOf(
+    PeerBytes("control", "sent") { meter.controlSentBytes },
+    PeerBytes("control", "received") { meter.controlReceivedBytes },
+    PeerBytes("traffic", "sent") { meter.trafficSentBytes },
+    PeerBytes("traffic", "received") { meter.trafficReceivedBytes },
+)
--- a/daemon/src/test/kotlin/org/pomeloladder/daemon/AdministrationApiTest.kt
+++ b/daemon/src/test/kotlin/org/pomeloladder/daemon/AdministrationApiTest.kt
@@ -28,6 +28,7 @@
 import org.pomeloladder.decisions.Self
 import org.pomeloladder.decisions.World
 import org.pomeloladder.peer.PeerTrafficMeter
+import org.pomeloladder.runtime.Metrics
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
@@ -44,7 +45,7 @@
     private val control = ControlAccess { event -> (event as? Inspection)?.read?.invoke(world, 5) }
     private val api = AdministrationApi(
         control,
-        Metrics(PeerTrafficMeter()),
+        Metrics(peerBytes(PeerTrafficMeter())),
         setOf(hashOfKey("secret")),
     )
     private val handler = api.handler()
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Journal.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Journal.kt
@@ -41,4 +41,5 @@
     EJECTIONS("pomeloladder_outlier_ejections", "Backend servers taken out of routing by reason"),
     ENGINE_ORDERS("pomeloladder_engine_orders", "Engine orders by result"),
     PAUSES("pomeloladder_pauses", "Detected pauses of this process"),
+    LOG_LINES_DROPPED("pomeloladder_log_lines_dropped", "Log lines dropped, by reason"),
 }
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Systems.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Systems.kt
@@ -33,4 +33,5 @@
     PlacementSystem(),
     DrainSystem(),
     TraceSystem(),
+    InspectionSystem(),
 )
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Tick.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Tick.kt
@@ -6,20 +6,25 @@
 
 import kotlin.random.Random
 
-/** One run of all systems. Everything that comes from outside is handed in here. */
-class Tick(val nowMs: Long, val events: List<Event>, val random: Random, val journal: Journal) {
-    private val collected = ArrayList<Command>()
+/** One run of all systems, on events [E] and commands [C]. Everything that comes from outside is handed in here. */
+class TickOf<E : Any, C : Any>(
+    val nowMs: Long,
+    val events: List<E>,
+    val random: Random,
+    val journal: Journal,
+) {
+    private val collected = ArrayList<C>()
     private var earliestTimerMs = Long.MAX_VALUE
 
     /** Commands in the order in which they were given. */
-    val commands: List<Command>
+    val commands: List<C>
         get() = collected
 
     /** The earliest time that any system asked to run again. */
     val nextTimerMs: Long
         get() = earliestTimerMs
 
-    fun give(command: Command) {
+    fun give(command: C) {
         collected += command
     }
 
@@ -28,13 +33,19 @@
         earliestTimerMs = minOf(earliestTimerMs, timeMs)
     }
 
-    /** Events of type [E] in the order of arrival. */
-    inline fun <reified E : Event> each(handle: (E) -> Unit) {
-        for (event in events) if (event is E) handle(event)
+    /** Events of type [T] in the order of arrival. */
+    inline fun <reified T : E> each(handle: (T) -> Unit) {
+        for (event in events) if (event is T) handle(event)
     }
 }
 
-/** Behaviour over the tables. A system changes only the tables that the design page gives it. */
-fun interface TickSystem {
-    fun run(world: World, tick: Tick)
+/** Behaviour over the tables of [W]. A system changes only the tables that the design page gives it. */
+fun interface SystemOf<W : Any, E : Any, C : Any> {
+    fun run(world: W, tick: TickOf<E, C>)
 }
+
+/** A tick of the subscriber gateway. */
+typealias Tick = TickOf<Event, Command>
+
+/** A system of the subscriber gateway. */
+typealias TickSystem = SystemOf<World, Event, Command>
--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/entry/Gateway.kt
@@ -0,0 +1,163 @@
+/*
+ * One process of the route gateway: wires the control thread, the traffic thread, the journal and the adapter of the
+ * deployment together.
+ */
+package org.pomeloladder.entry
+
+import java.util.concurrent.CountDownLatch
+import kotlin.random.Random
+import org.http4k.core.HttpHandler
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.pomeloladder.configuration.Address
+import org.pomeloladder.configuration.FailureDomainId
+import org.pomeloladder.configuration.RegionId
+import org.pomeloladder.configuration.VmId
+import org.pomeloladder.decisions.Incarnation
+import org.pomeloladder.decisions.LogEvent
+import org.pomeloladder.decisions.SchedulerOf
+import org.pomeloladder.gateway.EntryView
+import org.pomeloladder.gateway.GatewayBounds
+import org.pomeloladder.gateway.GatewayCommand
+import org.pomeloladder.gateway.GatewayEvent
+import org.pomeloladder.gateway.GatewayWorld
+import org.pomeloladder.gateway.PeerIdentity
+import org.pomeloladder.gateway.ShutdownAsked
+import org.pomeloladder.gateway.gatewaySystems
+import org.pomeloladder.runtime.BoundedJournal
+import org.pomeloladder.runtime.ControlThread
+import org.pomeloladder.runtime.EventSinkOf
+import org.pomeloladder.runtime.Metrics
+import org.pomeloladder.runtime.RealJournal
+import org.pomeloladder.runtime.RealMonotonicClock
+import org.pomeloladder.traffic.Fetcher
+import org.pomeloladder.traffic.GatewayTraffic
+import org.pomeloladder.traffic.TrafficAddresses
+import org.pomeloladder.traffic.Wire
+
+/** What a deployment brings: names on the wire, the reader of what it publishes, and its small calls. */
+interface Deployment {
+    val wire: Wire
+
+    /** Starts reading with [fetcher]; what is read is posted to [events]. */
+    fun startReading(fetcher: Fetcher, events: EventSinkOf<GatewayEvent>)
+
+    /** Answers readiness checks from [entry]. */
+    fun readiness(entry: () -> EntryView): HttpHandler
+
+    /** Answers callers that ask where to connect from [entry], with answers that hold for [ttlMs]. */
+    fun directory(entry: () -> EntryView, ttlMs: Long): HttpHandler
+}
+
+private const val MS_PER_S = 1_000
+private const val EXIT_BROKEN = 70
+
+/** Callers move within two seconds when a VM leaves, unless operators allow less. */
+private const val ENTRY_TTL_S = 2.0
+
+/** A running process. [settings] are checked. */
+class Gateway(private val settings: GatewaySettings, private val deployment: Deployment) {
+    private val metrics = Metrics()
+    private val journal = BoundedJournal(RealJournal(metrics))
+    private val stopped = CountDownLatch(1)
+    private val ttlMs = (minOf(settings.bounds.entryTtlMaxS, ENTRY_TTL_S) * MS_PER_S).toLong()
+    private val gossipAddress = peerAddress(settings.host, 0)
+    private val relayAddress = peerAddress(settings.host, 1)
+    private val self = PeerIdentity(
+        vm = VmId(settings.vm),
+        // Wall-clock time only orders incarnations of one VM.
+        incarnation = Incarnation(System.currentTimeMillis()),
+        region = RegionId(settings.region),
+        domain = FailureDomainId(settings.failureDomain),
+        callers = address(settings.callers),
+        gossip = gossipAddress,
+        relay = relayAddress,
+    )
+    private val world = GatewayWorld(
+        self = self,
+        regions = settings.regionsOfDomains.entries
+            .associate { FailureDomainId(it.key) to RegionId(it.value) },
+        seeds = settings.seeds.map { peerAddress(address(it).host, 0) } - gossipAddress,
+        bounds = bounds(),
+    )
+    private val traffic: GatewayTraffic = GatewayTraffic(
+        addresses = TrafficAddresses(
+            callers = self.callers,
+            relay = relayAddress,
+            gossip = gossipAddress,
+            views = peerAddress(settings.host, 2),
+        ),
+        self = self.vm,
+        wire = deployment.wire,
+        onStop = stopped::countDown,
+        onBadDatagram = { journal.log(LogEvent.PEER_REFUSED, mapOf("reason" to it)) },
+    )
+    private val control = ControlThread<GatewayWorld, GatewayEvent, GatewayCommand>(
+        scheduler = SchedulerOf(
+            world,
+            gatewaySystems(),
+            Random(self.incarnation.value xor self.vm.hashCode().toLong()),
+            journal,
+        ),
+        clock = RealMonotonicClock,
+        metrics = metrics,
+        execute = traffic::execute,
+        onBroken = ::stopBroken,
+    )
+
+    fun start() {
+        val apis = mapOf<Address, HttpHandler>(
+            address(settings.readiness) to deployment.readiness { traffic.entry },
+            address(settings.directory) to deployment.directory({ traffic.entry }, ttlMs),
+            Address(settings.host, settings.metricsPort) to ::metricsAnswer,
+        )
+        traffic.start(control, apis)
+        control.start()
+        deployment.startReading(traffic.fetcher, control)
+        journal.start()
+        val details = mapOf("vm" to self.vm, "incarnation" to self.incarnation)
+        journal.log(LogEvent.STARTED, details)
+    }
+
+    /** Asks for a graceful shutdown; [awaitStop] returns when it is finished. */
+    fun shutDown() = control.post(ShutdownAsked)
+
+    /** Waits until no call is left or the grace period is over, and closes everything. */
+    fun awaitStop() {
+        stopped.await()
+        control.stop()
+        traffic.close()
+        journal.log(LogEvent.STOPPED)
+        journal.close()
+    }
+
+    private fun metricsAnswer(@Suppress("UnusedParameter") request: Request): Response =
+        Response(Status.OK).body(metrics.expose())
+
+    private fun bounds(): GatewayBounds {
+        val bounds = settings.bounds
+        return GatewayBounds(
+            retryRatio = bounds.retryRatio,
+            retryWindowMs = (bounds.retryWindowS * MS_PER_S).toLong(),
+            retrySlack = bounds.retrySlack,
+            coldOverage = bounds.coldOverage,
+            coldSlack = bounds.coldSlack,
+            drainMs = bounds.drainMs,
+            shutdownGraceMs = (bounds.shutdownGraceS * MS_PER_S).toLong(),
+            entryTtlMs = ttlMs,
+        )
+    }
+
+    private fun peerAddress(host: String, offset: Int) =
+        Address(host, settings.peerPorts.first + offset)
+
+    private fun address(text: String): Address =
+        checkNotNull(parseAddress(text)) { "settings were not checked: $text" }
+
+    private fun stopBroken(cause: Throwable) {
+        journal.log(LogEvent.INVARIANT_BROKEN, mapOf("cause" to cause.stackTraceToString()))
+        journal.close()
+        Runtime.getRuntime().halt(EXIT_BROKEN)
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -0,0 +1,211 @@
+/*
+ * Starts sends for calls and ends calls that cannot be served. Every way to a second send goes through here, so that the
+ * rules on repeats stand in one place.
+ */
+package org.pomeloladder.gateway
+
+import org.pomeloladder.decisions.Counter
+import org.pomeloladder.decisions.LogEvent
+
+/** A call with less time than this is not sent any more; a plain call takes longer. */
+private const val LEAST_SEND_MS = 20L
+
+/** A server of the same region answers an open within a millisecond or two; the opening packet may be lost once. */
+private const val CONNECT_TIMEOUT_MS = 350L
+
+/** Opening a connection to another region takes one round trip between regions. */
+private const val PEER_CONNECT_TIMEOUT_MS = 700L
+
+/** Places calls. */
+class CallPlacer(private val placement: PlacementPolicy) {
+    /** Sends [call] to the best place, or ends it. */
+    fun place(world: GatewayWorld, tick: GatewayTick, call: Call) {
+        val remainingMs = call.remainingMs(tick.nowMs)
+        if (remainingMs < LEAST_SEND_MS) return fail(world, tick, call, CallRefusal.TIMED_OUT)
+        if (call.runs >= call.route.maxSends) {
+            return fail(world, tick, call, CallRefusal.OUTCOME_UNKNOWN)
+        }
+        when (val choice = placement.choose(world, call, tick.nowMs, tick.random)) {
+            is Choice.Nowhere ->
+                fail(world, tick, call, choice.reason, choice.retryAfterMs)
+            is Choice.Here -> when {
+                choice.waitMs > remainingMs ->
+                    fail(world, tick, call, CallRefusal.OVERLOADED, retryAfterMs(choice.waitMs))
+                isPaid(world, tick, call) -> sendHere(world, tick, call, choice)
+                else -> fail(world, tick, call, CallRefusal.NO_BUDGET, RETRY_AFTER_MS)
+            }
+            is Choice.There -> when {
+                isPaid(world, tick, call) -> sendThere(world, tick, call, choice)
+                else -> fail(world, tick, call, CallRefusal.NO_BUDGET, RETRY_AFTER_MS)
+            }
+        }
+    }
+
+    /** Ends [call] with the best answer there is; [reason] when no server gave one. */
+    fun fail(
+        world: GatewayWorld,
+        tick: GatewayTick,
+        call: Call,
+        reason: CallRefusal,
+        retryAfterMs: Long? = null,
+    ) {
+        world.calls.remove(call.id)
+        val held = call.heldAnswer
+        if (held != null) {
+            tick.journal.count(Counter.REQUESTS, "held-answer")
+            tick.give(DeliverAnswer(call.id, held))
+            return
+        }
+        val told = when {
+            call.isStreamStarted -> CallRefusal.STREAM_BROKEN
+            call.mayHaveRun && reason.hasRun == RunState.NOT_RUN -> CallRefusal.OUTCOME_UNKNOWN
+            else -> reason
+        }
+        tick.journal.count(Counter.REFUSALS, told.name.lowercase())
+        tick.journal.log(LogEvent.CALL_REFUSED, detailsOf(world, tick, call, reason, told))
+        tick.give(RefuseCall(call.id, told, retryAfterMs))
+    }
+
+    private fun detailsOf(
+        world: GatewayWorld,
+        tick: GatewayTick,
+        call: Call,
+        reason: CallRefusal,
+        told: CallRefusal,
+    ): Map<String, Any?> {
+        val servers = world.backends.filter { it.record.service == call.service }
+        return mapOf(
+            "request" to call.spec.requestId,
+            "route" to call.route.id,
+            "reason" to reason,
+            "told" to told,
+            "ageMs" to tick.nowMs - call.arrivedMs,
+            "arrivals" to call.arrivals,
+            "runs" to call.runs,
+            "servers" to servers.joinToString(" ") { describe(world, it, tick.nowMs) },
+            "revision" to world.process.view?.revision,
+        )
+    }
+
+    private fun describe(world: GatewayWorld, backend: Backend, nowMs: Long): String {
+        val reportAgeMs = if (backend.reported == null) -1 else nowMs - backend.reportedMs
+        val isUsable = isUsable(world, backend, nowMs)
+        return "${backend.id}:${backend.load}/${backend.record.slots},report=${reportAgeMs}ms," +
+            "usable=$isUsable"
+    }
+
+    /** Whether a further arrival is within the retry budget. The first one is always free. */
+    private fun isPaid(world: GatewayWorld, tick: GatewayTick, call: Call): Boolean {
+        if (call.arrivals == 0) return true
+        val vms = maxOf(world.peers.size + 1, world.seeds.size)
+        val isPaid = world.service(call.service).budget.take(tick.nowMs, world.bounds, vms)
+        tick.journal.count(Counter.RETRIES, if (isPaid) "sent" else "no-budget")
+        return isPaid
+    }
+
+    private fun sendHere(world: GatewayWorld, tick: GatewayTick, call: Call, choice: Choice.Here) {
+        val backend = choice.backend
+        val service = world.catalog?.service(call.service)
+        val send = newSend(world, tick, call, SendPlace.AtServer(backend.id))
+        send.expectedFirstMs = choice.waitMs
+        if (tick.nowMs < backend.coldUntilMs) backend.coldSends.addLast(tick.nowMs)
+        backend.inFlight++
+        call.spec.prompt?.let { prompt -> chargePrompt(world, backend, send, prompt, service) }
+        val region = world.livePeersHere().size + 1
+        val target = SendTarget.Server(
+            id = backend.id,
+            address = backend.record.address,
+            maxConnections = (service?.maxConnections ?: 1) / region,
+            isUnsafe = !call.route.isRepeatable,
+        )
+        give(tick, call, send, target, CONNECT_TIMEOUT_MS)
+    }
+
+    private fun chargePrompt(
+        world: GatewayWorld,
+        backend: Backend,
+        send: Send,
+        prompt: Prompt,
+        service: ServiceSpec?,
+    ) {
+        val uncached = prompt.promptTokens - backend.cache.cachedTokens(prompt.parts)
+        send.pendingTokens = uncached.toLong()
+        send.workTokens = uncached + backend.pendingPromptTokens + backend.peerPendingTokens
+        backend.pendingPromptTokens += uncached
+        val capacity = service?.engine?.kvCapacityTokens ?: return
+        for (part in prompt.sharedParts) {
+            backend.cache.add(part, capacity)
+            world.recentlyCached += CachedPart(backend.id, part.id, part.tokens)
+        }
+    }
+
+    private fun sendThere(
+        world: GatewayWorld,
+        tick: GatewayTick,
+        call: Call,
+        choice: Choice.There,
+    ) {
+        val peer = choice.peer
+        peer.relayedSince++
+        val send = newSend(world, tick, call, SendPlace.AtPeer(peer.vm))
+        send.expectedFirstMs = choice.waitMs
+        val target = SendTarget.Peer(
+            vm = peer.vm,
+            address = peer.identity.relay,
+            catalogVersion = world.catalog?.version ?: 0,
+            isRepeat = call.arrivals > 0,
+        )
+        give(tick, call, send, target, PEER_CONNECT_TIMEOUT_MS)
+    }
+
+    private fun newSend(
+        world: GatewayWorld,
+        tick: GatewayTick,
+        call: Call,
+        place: SendPlace,
+    ): Send {
+        val send = Send(SendId(++world.process.nextSend), call.id, place, tick.nowMs)
+        world.sends[send.id] = send
+        call.current = send.id
+        return send
+    }
+
+    private fun give(
+        tick: GatewayTick,
+        call: Call,
+        send: Send,
+        target: SendTarget,
+        connectTimeoutMs: Long,
+    ) {
+        val remainingMs = call.remainingMs(tick.nowMs)
+        tick.give(
+            StartSend(
+                send = send.id,
+                call = call.id,
+                target = target,
+                remainingMs = remainingMs,
+                priority = call.route.priority,
+                isStream = call.route.kind == RouteKind.STREAMING,
+                connectTimeoutMs = minOf(connectTimeoutMs, remainingMs),
+            ),
+        )
+        val details = mapOf(
+            "request" to call.spec.requestId,
+            "send" to send.id,
+            "to" to send.place,
+            "route" to call.route.id,
+            "expectedMs" to send.expectedFirstMs.toLong(),
+            "remainingMs" to remainingMs,
+            "arrivals" to call.arrivals,
+        )
+        tick.journal.log(LogEvent.CALL_SENT, details)
+    }
+
+    private fun retryAfterMs(waitMs: Double) =
+        (waitMs / 2).toLong().coerceIn(RETRY_AFTER_MS, MOST_RETRY_AFTER_MS)
+
+    private companion object {
+        const val RETRY_AFTER_MS = 300L
+        const val MOST_RETRY_AFTER_MS = 1_500L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSystem.kt
@@ -0,0 +1,104 @@
+/*
+ * Takes calls in, and ends those whose caller left or whose time is up.
+ */
+package org.pomeloladder.gateway
+
+import org.pomeloladder.decisions.Counter
+import org.pomeloladder.decisions.Latency
+import org.pomeloladder.decisions.LogEvent
+
+/** Accuracy of time limits; a call may be held half a second past its own. */
+private const val SCAN_INTERVAL_MS = 50L
+
+/** Handles arrivals, departures and time limits. */
+class CallSystem(private val placer: CallPlacer) : GatewaySystem {
+    override fun run(world: GatewayWorld, tick: GatewayTick) {
+        tick.each<CallerLeft> { leave(world, tick, it.call) }
+        expire(world, tick)
+        tick.each<CallArrived> { arrive(world, tick, it) }
+        if (world.calls.size > 0) tick.wakeAt(tick.nowMs + SCAN_INTERVAL_MS)
+    }
+
+    private fun arrive(world: GatewayWorld, tick: GatewayTick, event: CallArrived) {
+        val catalog = world.catalog ?: return refuse(tick, event, CallRefusal.STARTING)
+        val origin = event.spec.origin
+        if (origin is CallOrigin.Peer && origin.catalogVersion > catalog.version) {
+            // The peer decided by rules that are not known here; it places the call elsewhere.
+            return refuse(tick, event, CallRefusal.STARTING)
+        }
+        val route = catalog.match(event.spec.host, event.spec.path)
+            ?: return refuse(tick, event, CallRefusal.NO_ROUTE)
+        val service = chooseService(tick, route)
+        val call = Call(event.call, event.spec, route, service, tick.nowMs)
+        call.timeoutAtMs = tick.nowMs + route.timeoutMs
+        event.spec.budgetMs?.let { call.deadlineAtMs = tick.nowMs + it }
+        world.calls[call.id] = call
+        if (origin is CallOrigin.Caller) world.service(call.service).budget.call(tick.nowMs)
+        placer.place(world, tick, call)
+    }
+
+    private fun chooseService(tick: GatewayTick, route: Route) =
+        route.targets.first().service.takeIf { route.targets.size == 1 } ?: run {
+            var left = tick.random.nextInt(route.targets.sumOf { it.weight }.coerceAtLeast(1))
+            route.targets.first {
+                left -= it.weight
+                left < 0
+            }.service
+        }
+
+    private fun refuse(tick: GatewayTick, event: CallArrived, reason: CallRefusal) {
+        val details = mapOf(
+            "request" to event.spec.requestId,
+            "reason" to reason,
+            "host" to event.spec.host,
+            "path" to event.spec.path,
+        )
+        tick.journal.log(LogEvent.CALL_REFUSED, details)
+        tick.journal.count(Counter.REFUSALS, reason.name.lowercase())
+        tick.give(RefuseCall(event.call, reason, STARTING_RETRY_AFTER_MS))
+    }
+
+    private fun leave(world: GatewayWorld, tick: GatewayTick, id: CallId) {
+        val call = world.calls.remove(id) ?: return
+        stopSend(world, tick, call)
+        tick.journal.count(Counter.REQUESTS, "caller-left")
+        val details = mapOf(
+            "request" to call.spec.requestId,
+            "ageMs" to tick.nowMs - call.arrivedMs,
+            "hasStarted" to call.isStreamStarted,
+        )
+        tick.journal.log(LogEvent.CALLER_LEFT, details)
+    }
+
+    private fun expire(world: GatewayWorld, tick: GatewayTick) {
+        val expired = world.calls.filter { it.remainingMs(tick.nowMs) <= 0 }
+        for (call in expired) {
+            stopSend(world, tick, call)
+            tick.journal.observe(Latency.REQUEST, tick.nowMs - call.arrivedMs)
+            placer.fail(world, tick, call, CallRefusal.TIMED_OUT)
+        }
+    }
+
+    private companion object {
+        /** Another VM is usually ready; this one is within a second or two. */
+        const val STARTING_RETRY_AFTER_MS = 200L
+    }
+}
+
+/** Stops the current send of [call] and takes it off its server. */
+internal fun stopSend(world: GatewayWorld, tick: GatewayTick, call: Call) {
+    val id = call.current ?: return
+    call.current = null
+    val send = world.sends.remove(id) ?: return
+    release(world, send)
+    tick.give(CancelSend(id))
+}
+
+/** Takes [send] off the counts of its server. */
+internal fun release(world: GatewayWorld, send: Send) {
+    val place = send.place as? SendPlace.AtServer ?: return
+    val backend = world.backends[place.server] ?: return
+    backend.inFlight--
+    backend.pendingPromptTokens -= send.pendingTokens
+    send.pendingTokens = 0
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -0,0 +1,141 @@
+/*
+ * Rows of the route gateway's tables. They are plain data; systems hold the behaviour. Times are milliseconds of the
+ * process's steady clock.
+ */
+package org.pomeloladder.gateway
+
+import org.pomeloladder.configuration.BackendServerId
+import org.pomeloladder.configuration.RegionId
+import org.pomeloladder.configuration.ServiceId
+import org.pomeloladder.configuration.VmId
+import org.pomeloladder.decisions.Incarnation
+
+/** One backend server of any region. Only those of this process's region are sent to. */
+class Backend(var record: BackendRecord) {
+    val id: BackendServerId
+        get() = record.id
+
+    /** Calls of this process that the server has, and prompt tokens of those without a first event. */
+    var inFlight = 0
+    var pendingPromptTokens = 0L
+
+    /** What other VMs of the region put on the server, as of their last datagrams. */
+    var peerInFlight = 0
+    var peerPendingTokens = 0L
+
+    /** As last reported by the server, and when. */
+    var reported: LoadReport? = null
+    var reportedMs = 0L
+
+    /** Moving averages of own observations. */
+    var failureShare = 0.0
+    var failureSeenMs = 0L
+
+    var heardMs = 0L
+    var unreachableUntilMs = 0L
+    var connectFailures = 0
+
+    /** Set while the entry is missing; the server is dropped when it stays so. */
+    var missingSinceMs: Long? = null
+
+    /** The server at the address is another one. */
+    var isReplaced = false
+    var coldUntilMs = 0L
+    var coldSends = ArrayDeque<Long>()
+
+    /** Set when the server's zone came back from an evacuation and its health is not known yet. */
+    var isHealthWanted = false
+    val cache = PrefixCache()
+
+    val load: Int
+        get() = inFlight + peerInFlight
+}
+
+/** One other entry VM. */
+class Peer(var identity: PeerIdentity) {
+    val vm: VmId
+        get() = identity.vm
+    val incarnation: Incarnation
+        get() = identity.incarnation
+    var heardMs = 0L
+    var heardSentMs = 0L
+    var isLive = false
+    var isDraining = false
+    var isReady = false
+    var revision = 0L
+    var roundTripMs = 0.0
+
+    /** When this process last saw its own clock echoed: the link works both ways. */
+    var echoedMs = Long.MIN_VALUE / 2
+    var sentMs = Long.MIN_VALUE / 2
+    var unreachableUntilMs = 0L
+    var services: Map<ServiceId, ServiceLoad> = emptyMap()
+    var shares: List<ServerShare> = emptyList()
+
+    /** Calls relayed there since its last datagram; its figures do not show them yet. */
+    var relayedSince = 0
+}
+
+/** A call under way at this process. */
+class Call(
+    val id: CallId,
+    val spec: CallSpec,
+    val route: Route,
+    val service: ServiceId,
+    val arrivedMs: Long,
+) {
+    var timeoutAtMs = 0L
+    var deadlineAtMs = Long.MAX_VALUE
+
+    /** Servers that may have run the call. */
+    var runs = 0
+
+    /** Arrivals at servers, whether run or not. */
+    var arrivals = 0
+    var current: SendId? = null
+    var isStreamStarted = false
+    var mayHaveRun = false
+    val avoided = HashSet<BackendServerId>()
+    val avoidedPeers = HashSet<VmId>()
+
+    /** An answer of a server that is passed on when no better one can be had. */
+    var heldAnswer: SendId? = null
+
+    fun remainingMs(nowMs: Long) = minOf(timeoutAtMs, deadlineAtMs) - nowMs
+}
+
+/** Where a send went. */
+sealed interface SendPlace {
+    data class AtServer(val server: BackendServerId) : SendPlace
+
+    data class AtPeer(val vm: VmId) : SendPlace
+}
+
+/** One send under way. */
+class Send(val id: SendId, val call: CallId, val place: SendPlace, val startedMs: Long) {
+    /** Prompt tokens that count as pending at the server until the first event. */
+    var pendingTokens = 0L
+
+    /** Prompt tokens that the server was expected to have cached. */
+    var isStarted = false
+    var expectedFirstMs = 0.0
+    var workTokens = 0L
+}
+
+/** What this process knows of a service. */
+class ServiceState(val id: ServiceId) {
+    /** Moving averages: prompt work and whole calls. */
+    var msPerPromptToken = INITIAL_MS_PER_PROMPT_TOKEN
+    var callMs = 0.0
+
+    /** Calls and extra arrivals of this process in the retry window. */
+    val budget = RetryWindow()
+
+    private companion object {
+        /** Order of magnitude of today's accelerators; replaced by observations within seconds. */
+        const val INITIAL_MS_PER_PROMPT_TOKEN = 0.02
+    }
+}
+
+/** Where a region can be reached: live peers and their summed figures. */
+class RegionLoad(val region: RegionId, val peers: List<Peer>, val load: ServiceLoad)
--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/EntrySystem.kt
@@ -0,0 +1,37 @@
+/*
+ * Publishes what listeners answer on their own: readiness, the directory of entry VMs and the limits for callers.
+ */
+package org.pomeloladder.gateway
+
+import org.pomeloladder.decisions.LogEvent
+
+/** Publishes an [EntryView] whenever it changed. */
+class EntrySystem : GatewaySystem {
+    override fun run(world: GatewayWorld, tick: GatewayTick) {
+        val process = world.process
+        val view = EntryView(
+            isReady = process.view != null && !process.isDraining,
+            isDraining = process.isDraining,
+            limits = world.catalog?.limits ?: CallerLimits(),
+            entries = entries(world),
+            published = process.view,
+        )
+        val before = process.hasPublished
+        if (view == before) return
+        process.hasPublished = view
+        tick.give(PublishEntryView(view))
+        if (view.isReady && before?.isReady != true) {
+            tick.journal.log(LogEvent.READY, mapOf("revision" to process.view?.revision))
+        }
+    }
+
+    private fun entries(world: GatewayWorld): List<EntryPoint> {
+        val peers = world.peers.filter { it.isLive && it.isReady && !it.isDraining }
+            .map { entryOf(it.identity) }
+        val isServing = world.process.view != null && !world.process.isDraining
+        return if (isServing) peers + entryOf(world.self) else peers
+    }
+
+    private fun entryOf(identity: PeerIdentity) =
+        EntryPoint(identity.vm, identity.callers, identity.region, identity.domain)
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
@@ -0,0 +1,88 @@
+/*
+ * Events of the route gateway: what traffic threads and the platform adapter report to the control thread.
+ */
+package org.pomeloladder.gateway
+
+import org.pomeloladder.configuration.Address
+import org.pomeloladder.configuration.BackendServerId
+
+/** Something that happened outside the control thread. */
+sealed interface GatewayEvent
+
+/** A whole request was read. */
+data class CallArrived(val call: CallId, val spec: CallSpec) : GatewayEvent
+
+/** The caller closed its connection before its answer was complete. */
+data class CallerLeft(val call: CallId) : GatewayEvent
+
+/** No byte of a send was written. */
+data class SendUnsent(val send: SendId, val reason: UnsentReason) : GatewayEvent
+
+/** Why nothing was written. */
+enum class UnsentReason {
+    /** The connection was refused or did not open in time. */
+    CONNECT_FAILED,
+
+    /** This process holds as many connections to the server as its share allows. */
+    NO_CONNECTION_LEFT,
+}
+
+/** The first event of a stream, or the head of another answer, arrived and was accepted. */
+data class SendStarted(val send: SendId, val load: LoadReport?) : GatewayEvent
+
+/** A send is over. No further event names it. */
+data class SendEnded(val send: SendId, val outcome: SendOutcome, val load: LoadReport?) :
+    GatewayEvent
+
+/** No byte of a started or awaited answer arrived for [quietMs]. */
+data class SendQuiet(val send: SendId, val quietMs: Long) : GatewayEvent
+
+/** What a backend server says of its load. [slowdown] is 1 when work takes as long as usual. */
+data class LoadReport(val running: Int, val waiting: Int, val slots: Int, val slowdown: Double)
+
+/** How a send ended. */
+sealed interface SendOutcome {
+    /** The whole answer is there, or was passed on. */
+    data class Answered(val status: Int) : SendOutcome
+
+    /** The server states that it did not run the request. [hasArrived] is false when a peer refused it unsent. */
+    data class NotRun(val reason: NotRunReason, val hasArrived: Boolean = true) : SendOutcome
+
+    /** The connection ended, or the answer cannot be used. The request may have run. */
+    data class Broken(val reason: BreakReason) : SendOutcome
+
+    /** Stopped on request. */
+    data object Cancelled : SendOutcome
+}
+
+/** Why a server did not run a request. */
+enum class NotRunReason { FULL, WRONG_INSTANCE, REJECTED, PEER_REFUSED }
+
+/** Why an answer cannot be used. */
+enum class BreakReason { CONNECTION_LOST, TRUNCATED, NOT_HTTP, UNSIGNED, WRONG_ORDER }
+
+/** A datagram from a peer. */
+data class GossipReceived(val from: Address, val message: GossipMessage) : GatewayEvent
+
+/** The platform, or a peer, handed over a view. */
+data class ViewRead(val view: PublishedView, val source: ViewSource) : GatewayEvent
+
+/** Where a view came from. */
+enum class ViewSource { PLATFORM, PEER }
+
+/** The platform answered or did not. */
+data class PlatformContact(val isReachable: Boolean) : GatewayEvent
+
+/** A health check ended. [coldForMs] is null when the server did not answer in time. */
+data class HealthRead(
+    val server: BackendServerId,
+    val isHealthy: Boolean,
+    val coldForMs: Long?,
+    val load: LoadReport?,
+) : GatewayEvent
+
+/** Backend servers from which bytes arrived since the last report. */
+data class ServersHeard(val servers: Set<BackendServerId>) : GatewayEvent
+
+/** The process was asked to shut down gracefully. */
+data object ShutdownAsked : GatewayEvent
--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
@@ -0,0 +1,18 @@
+/*
+ * The systems of the route gateway in their fixed order.
+ */
+package org.pomeloladder.gateway
+
+/** All systems. Views come before calls, so that no tick routes by a view that the same tick replaces. */
+fun gatewaySystems(placement: PlacementPolicy = RealPlacementPolicy()): List<GatewaySystem> {
+    val placer = CallPlacer(placement)
+    return listOf(
+        ViewSystem(),
+        ServerSystem(),
+        PeerSystem(placement),
+        SendSystem(placer),
+        CallSystem(placer),
+        ShutdownSystem(),
+        EntrySystem(),
+    )
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -0,0 +1,224 @@
+/*
+ * Chooses where a call goes: the backend server of this region that is expected to serve it first, or another region
+ * when that serves its caller better.
+ */
+package org.pomeloladder.gateway
+
+import kotlin.random.Random
+import org.pomeloladder.configuration.RegionId
+import org.pomeloladder.configuration.ServiceId
+import org.pomeloladder.decisions.rendezvousScore
+
+/** Where a call should go. */
+sealed interface Choice {
+    /** A server of this region; [waitMs] is the expected time to its first event. */
+    data class Here(val backend: Backend, val waitMs: Double) : Choice
+
+    /** A peer in another region. */
+    data class There(val peer: Peer, val waitMs: Double) : Choice
+
+    /** No place at the moment. [retryAfterMs] says when one is expected. */
+    data class Nowhere(val reason: CallRefusal, val retryAfterMs: Long) : Choice
+}
+
+/** Chooses places for calls. */
+interface PlacementPolicy {
+    fun choose(world: GatewayWorld, call: Call, nowMs: Long, random: Random): Choice
+
+    /** The expected wait and the places of [service] in this region, for peers of other regions. */
+    fun summary(world: GatewayWorld, service: ServiceId, nowMs: Long): ServiceLoad
+}
+
+/** The policy of production. */
+class RealPlacementPolicy : PlacementPolicy {
+    override fun choose(world: GatewayWorld, call: Call, nowMs: Long, random: Random): Choice {
+        val here = if (call.route.allows(world.self.region)) {
+            chooseHere(world, call, nowMs, random)
+        } else {
+            null
+        }
+        if (call.spec.origin is CallOrigin.Peer) return here ?: nowhere(world, call, nowMs)
+        val there = chooseThere(world, call, nowMs, random)
+        return when {
+            here == null && there == null -> nowhere(world, call, nowMs)
+            here == null -> checkNotNull(there)
+            there == null || here.waitMs <= there.waitMs + REGION_MARGIN_MS -> here
+            here.waitMs <= call.route.objectiveMs * LOCAL_SHARE_OF_OBJECTIVE -> here
+            else -> there
+        }
+    }
+
+    override fun summary(world: GatewayWorld, service: ServiceId, nowMs: Long): ServiceLoad {
+        val usable = world.backends.filter {
+            it.record.service == service && isUsable(world, it, nowMs)
+        }
+        val state = world.service(service)
+        val waits = usable.map { expectedMs(it, state, TYPICAL_PROMPT_TOKENS, isEngine(world, it)) }
+        return ServiceLoad(
+            service = service,
+            places = usable.sumOf { it.record.slots },
+            inUse = usable.sumOf { it.load },
+            waitMs = waits.minOrNull()?.toLong() ?: NO_WAIT_KNOWN_MS,
+        )
+    }
+
+    private fun chooseHere(
+        world: GatewayWorld,
+        call: Call,
+        nowMs: Long,
+        random: Random,
+    ): Choice.Here? {
+        val state = world.service(call.service)
+        val usable = world.backends.filter {
+            it.record.service == call.service &&
+                it.id !in call.avoided &&
+                isUsable(world, it, nowMs) &&
+                hasColdRoom(world, it, nowMs)
+        }
+        if (usable.isEmpty()) return null
+        val shared = call.spec.prompt?.sharedParts.orEmpty()
+        val preferred = shared.lastOrNull()?.let { part ->
+            usable.maxByOrNull { rendezvousScore(part.id.value, it.id.value) }
+        }
+        var best: Backend? = null
+        var bestCost = Double.MAX_VALUE
+        var bestWait = 0.0
+        for (backend in usable) {
+            val tokens = uncachedTokens(call.spec.prompt, backend)
+            val wait = expectedMs(backend, state, tokens, call.spec.prompt != null)
+            var cost = wait + random.nextDouble() * TIE_SPREAD_MS
+            cost += backend.failureShare * failureCostMs(call)
+            if (backend.missingSinceMs != null) cost += MISSING_COST_MS
+            if (nowMs < backend.coldUntilMs) cost += COLD_COST_MS
+            if (backend === preferred) {
+                cost -= shared.sumOf { it.tokens } * state.msPerPromptToken * PREFERRED_SHARE
+            }
+            if (cost < bestCost) {
+                best = backend
+                bestCost = cost
+                bestWait = wait
+            }
+        }
+        return Choice.Here(checkNotNull(best), bestWait)
+    }
+
+    private fun chooseThere(
+        world: GatewayWorld,
+        call: Call,
+        nowMs: Long,
+        random: Random,
+    ): Choice.There? {
+        val byRegion = HashMap<RegionId, MutableList<Peer>>()
+        for (peer in world.peers) {
+            val region = peer.identity.region
+            if (region == world.self.region || !call.route.allows(region)) continue
+            if (!peer.isLive || !peer.isReady || peer.isDraining) continue
+            if (peer.vm in call.avoidedPeers || nowMs < peer.unreachableUntilMs) continue
+            byRegion.getOrPut(region) { ArrayList() } += peer
+        }
+        var best: Choice.There? = null
+        for (peers in byRegion.values) {
+            val newest = peers.maxBy { it.heardMs }
+            val load = newest.services[call.service] ?: continue
+            if (load.places == 0) continue
+            val relayed = peers.sumOf { it.relayedSince }
+            val crowding = relayed.toDouble() / load.places
+            val wait = newest.roundTripMs + load.waitMs +
+                (1 + load.waitMs) * crowding + random.nextDouble() * REGION_SPREAD_MS
+            if (best == null || wait < best.waitMs) {
+                best = Choice.There(peers[random.nextInt(peers.size)], wait)
+            }
+        }
+        return best
+    }
+
+    private fun nowhere(world: GatewayWorld, call: Call, nowMs: Long): Choice.Nowhere {
+        val isKnown = world.backends.any { it.record.service == call.service }
+        val reason = if (isKnown) CallRefusal.OVERLOADED else CallRefusal.NO_BACKEND
+        val reachableMs = world.backends
+            .filter { it.record.service == call.service }
+            .minOfOrNull { it.unreachableUntilMs - nowMs } ?: RETRY_AFTER_MS
+        return Choice.Nowhere(reason, reachableMs.coerceIn(RETRY_AFTER_MS, MOST_RETRY_AFTER_MS))
+    }
+
+    private fun isEngine(world: GatewayWorld, backend: Backend) =
+        world.catalog?.service(backend.record.service)?.engine != null
+
+    private fun uncachedTokens(prompt: Prompt?, backend: Backend): Int {
+        if (prompt == null) return 0
+        return prompt.promptTokens - backend.cache.cachedTokens(prompt.parts)
+    }
+
+    /** Expected time in milliseconds until [backend] gives its first event for a prompt of [tokens] uncached tokens. */
+    private fun expectedMs(
+        backend: Backend,
+        state: ServiceState,
+        tokens: Int,
+        isEngine: Boolean,
+    ): Double {
+        val slots = backend.record.slots.coerceAtLeast(1)
+        val load = maxOf(backend.load, reportedLoad(backend))
+        val slowdown = backend.reported?.slowdown ?: 1.0
+        val waiting = (load + 1 - slots).coerceAtLeast(0)
+        val queueMs = waiting * state.callMs.coerceAtLeast(LEAST_CALL_MS) / slots
+        if (!isEngine) {
+            val crowdMs = state.callMs * load / slots * PLAIN_CROWDING
+            return slowdown * (state.callMs + queueMs + crowdMs)
+        }
+        val ahead = backend.pendingPromptTokens + backend.peerPendingTokens
+        val promptMs = (tokens + ahead) * state.msPerPromptToken
+        return slowdown * (promptMs + load * MS_PER_RUNNING_CALL + queueMs)
+    }
+
+    private fun reportedLoad(backend: Backend): Int {
+        val report = backend.reported ?: return 0
+        return if (report.waiting > 0) report.running + report.waiting else 0
+    }
+
+    private fun failureCostMs(call: Call): Double =
+        call.route.objectiveMs * if (call.route.isRepeatable) 1.0 else UNSAFE_FAILURE_WEIGHT
+
+    companion object {
+        /** Equal servers are told apart at random, by less than the shortest prompt takes. */
+        private const val TIE_SPREAD_MS = 4.0
+
+        /** Spread over regions whose figures are alike, by less than their figures vary within one datagram interval. */
+        private const val REGION_SPREAD_MS = 20.0
+
+        /** Another region must be better by this, since its caches are cold for this region's prompts. */
+        private const val REGION_MARGIN_MS = 60.0
+
+        /** A call that is expected to start well within its objective stays in its region. */
+        private const val LOCAL_SHARE_OF_OBJECTIVE = 0.6
+
+        /** Weight of the rendezvous choice against a server that is less busy. */
+        private const val PREFERRED_SHARE = 0.6
+
+        /** A server whose entry is missing is probably leaving. */
+        private const val MISSING_COST_MS = 2_000.0
+
+        /** A cold server is used when the others are busy for longer than it takes to start. */
+        private const val COLD_COST_MS = 300.0
+
+        /** Weight of failures for calls that cannot be repeated. */
+        private const val UNSAFE_FAILURE_WEIGHT = 4.0
+
+        /** What one running call adds to the first event of the next: its share of each batch step. */
+        private const val MS_PER_RUNNING_CALL = 1.5
+
+        /** Part of a plain call's time that each busy place adds. */
+        private const val PLAIN_CROWDING = 0.2
+
+        /** Used until calls were seen to end. */
+        private const val LEAST_CALL_MS = 20.0
+
+        /** Prompt of the summary that other regions compare with. */
+        private const val TYPICAL_PROMPT_TOKENS = 1_000
+
+        /** Stands for a service that has no server here. */
+        private const val NO_WAIT_KNOWN_MS = 60_000L
+
+        private const val RETRY_AFTER_MS = 300L
+        private const val MOST_RETRY_AFTER_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -0,0 +1,261 @@
+/*
+ * Follows sends: what they tell about servers, and what becomes of a call whose send ended without a usable answer.
+ */
+package org.pomeloladder.gateway
+
+import org.pomeloladder.decisions.Counter
+import org.pomeloladder.decisions.Latency
+import org.pomeloladder.decisions.LogEvent
+
+/** Handles what traffic threads report of sends. */
+class SendSystem(private val placer: CallPlacer) : GatewaySystem {
+    override fun run(world: GatewayWorld, tick: GatewayTick) {
+        for (event in tick.events) {
+            when (event) {
+                is SendStarted -> start(world, tick, event)
+                is SendUnsent -> unsent(world, tick, event)
+                is SendEnded -> end(world, tick, event)
+                is SendQuiet -> quiet(world, tick, event)
+                else -> Unit
+            }
+        }
+    }
+
+    private fun start(world: GatewayWorld, tick: GatewayTick, event: SendStarted) {
+        val send = world.sends[event.send] ?: return
+        val call = world.calls[send.call] ?: return
+        if (!call.isStreamStarted) {
+            tick.journal.observe(Latency.FIRST_TOKEN, tick.nowMs - call.arrivedMs)
+        }
+        send.isStarted = true
+        call.isStreamStarted = true
+        call.mayHaveRun = true
+        val backend = backendOf(world, send) ?: return
+        backend.heardMs = tick.nowMs
+        note(backend, event.load, tick.nowMs)
+        backend.pendingPromptTokens -= send.pendingTokens
+        learnPromptRate(world.service(call.service), send, tick.nowMs)
+        send.pendingTokens = 0
+    }
+
+    /** Moves the estimate of prompt time towards what was seen, as far as prompt work explains it. */
+    private fun learnPromptRate(state: ServiceState, send: Send, nowMs: Long) {
+        if (send.workTokens < LEAST_TOKENS_TO_LEARN) return
+        val seen = (nowMs - send.startedMs).toDouble() / send.workTokens
+        val bounded = seen.coerceIn(state.msPerPromptToken / 2, state.msPerPromptToken * 2)
+        state.msPerPromptToken += PROMPT_RATE_WEIGHT * (bounded - state.msPerPromptToken)
+        state.msPerPromptToken =
+            state.msPerPromptToken.coerceIn(LEAST_MS_PER_TOKEN, MOST_MS_PER_TOKEN)
+    }
+
+    private fun unsent(world: GatewayWorld, tick: GatewayTick, event: SendUnsent) {
+        val send = world.sends.remove(event.send) ?: return
+        release(world, send)
+        if (event.reason == UnsentReason.CONNECT_FAILED) unreachable(world, tick, send)
+        val call = world.calls[send.call] ?: return
+        avoid(call, send)
+        tick.journal.count(Counter.RETRIES, event.reason.name.lowercase())
+        logEnd(tick, call, send, event.reason)
+        placer.place(world, tick, call)
+    }
+
+    private fun unreachable(world: GatewayWorld, tick: GatewayTick, send: Send) {
+        when (val place = send.place) {
+            is SendPlace.AtPeer ->
+                world.peers[place.vm]?.unreachableUntilMs = tick.nowMs + FIRST_BACK_OFF_MS
+            is SendPlace.AtServer -> {
+                val backend = world.backends[place.server] ?: return
+                val shift = backend.connectFailures.coerceAtMost(MOST_DOUBLINGS)
+                backend.connectFailures++
+                backend.unreachableUntilMs = tick.nowMs + (FIRST_BACK_OFF_MS shl shift)
+                tick.journal.log(
+                    LogEvent.BACKEND_UNREACHABLE,
+                    mapOf("server" to backend.id, "failures" to backend.connectFailures),
+                )
+            }
+        }
+    }
+
+    private fun end(world: GatewayWorld, tick: GatewayTick, event: SendEnded) {
+        val send = world.sends.remove(event.send) ?: return
+        release(world, send)
+        val call = world.calls[send.call]
+        val backend = backendOf(world, send)
+        if (backend != null) {
+            note(backend, event.load, tick.nowMs)
+            learnFailure(backend, event.outcome)
+        }
+        if (call == null) return
+        call.current = null
+        logEnd(tick, call, send, event.outcome)
+        when (val outcome = event.outcome) {
+            is SendOutcome.Answered -> answered(world, tick, call, send, outcome.status)
+            is SendOutcome.NotRun -> notRun(world, tick, call, send, outcome)
+            is SendOutcome.Broken -> broken(world, tick, call, send)
+            SendOutcome.Cancelled -> broken(world, tick, call, send)
+        }
+    }
+
+    private fun answered(
+        world: GatewayWorld,
+        tick: GatewayTick,
+        call: Call,
+        send: Send,
+        status: Int,
+    ) {
+        call.arrivals++
+        call.runs++
+        call.mayHaveRun = true
+        val state = world.service(call.service)
+        val tookMs = tick.nowMs - send.startedMs
+        if (send.place is SendPlace.AtServer) {
+            state.callMs = if (state.callMs == 0.0) {
+                tookMs.toDouble()
+            } else {
+                state.callMs + CALL_WEIGHT * (tookMs - state.callMs)
+            }
+        }
+        if (call.isStreamStarted && !send.isStarted) {
+            // A resumed stream got another answer than events.
+            avoid(call, send)
+            return placer.place(world, tick, call)
+        }
+        val isFailure = status >= SERVER_ERROR
+        if (isFailure && call.route.isRepeatable && !call.isStreamStarted) {
+            call.heldAnswer = send.id
+            avoid(call, send)
+            tick.journal.count(Counter.RETRIES, "server-error")
+            return placer.place(world, tick, call)
+        }
+        world.calls.remove(call.id)
+        tick.journal.observe(Latency.REQUEST, tick.nowMs - call.arrivedMs)
+        tick.journal.count(Counter.REQUESTS, if (isFailure) "server-error" else "answered")
+        if (call.isStreamStarted) {
+            tick.give(EndStream(call.id))
+        } else {
+            tick.give(DeliverAnswer(call.id, send.id))
+        }
+    }
+
+    private fun notRun(
+        world: GatewayWorld,
+        tick: GatewayTick,
+        call: Call,
+        send: Send,
+        outcome: SendOutcome.NotRun,
+    ) {
+        if (outcome.hasArrived) call.arrivals++
+        avoid(call, send)
+        tick.journal.count(Counter.RETRIES, outcome.reason.name.lowercase())
+        if (outcome.reason == NotRunReason.WRONG_INSTANCE) {
+            val backend = backendOf(world, send)
+            if (backend != null) {
+                backend.isReplaced = true
+                tick.give(DropConnections(backend.id))
+            }
+        }
+        placer.place(world, tick, call)
+    }
+
+    private fun broken(world: GatewayWorld, tick: GatewayTick, call: Call, send: Send) {
+        call.arrivals++
+        call.runs++
+        call.mayHaveRun = true
+        avoid(call, send)
+        if (!call.route.isRepeatable) {
+            return placer.fail(world, tick, call, CallRefusal.OUTCOME_UNKNOWN)
+        }
+        tick.journal.count(Counter.RETRIES, if (call.isStreamStarted) "resume" else "broken")
+        placer.place(world, tick, call)
+    }
+
+    /** Moves a call that may be repeated away from a server that has gone silent. */
+    private fun quiet(world: GatewayWorld, tick: GatewayTick, event: SendQuiet) {
+        val send = world.sends[event.send] ?: return
+        val call = world.calls[send.call] ?: return
+        val backend = backendOf(world, send) ?: return
+        val patienceMs = when {
+            tick.nowMs - backend.heardMs < SILENT_SERVER_MS -> slowPatienceMs(call, send)
+            else -> SILENT_SERVER_MS
+        }
+        if (event.quietMs < patienceMs) return
+        val isSilent = tick.nowMs - backend.heardMs >= SILENT_SERVER_MS
+        if (isSilent) suspect(tick, backend)
+        if (!call.route.isRepeatable || call.runs + 1 >= call.route.maxSends) return
+        stopSend(world, tick, call)
+        logEnd(tick, call, send, "quiet for ${event.quietMs} ms")
+        broken(world, tick, call, send)
+    }
+
+    private fun suspect(tick: GatewayTick, backend: Backend) {
+        if (tick.nowMs < backend.unreachableUntilMs) return
+        backend.unreachableUntilMs = tick.nowMs + FIRST_BACK_OFF_MS
+        tick.give(DropConnections(backend.id))
+        val details = mapOf("server" to backend.id, "silentMs" to tick.nowMs - backend.heardMs)
+        tick.journal.log(LogEvent.BACKEND_SILENT, details)
+    }
+
+    private fun slowPatienceMs(call: Call, send: Send): Long {
+        val expected = (send.expectedFirstMs * SLOW_FACTOR).toLong()
+        return maxOf(call.route.objectiveMs, expected)
+    }
+
+    private fun learnFailure(backend: Backend, outcome: SendOutcome) {
+        val failure = when (outcome) {
+            is SendOutcome.Answered -> if (outcome.status >= SERVER_ERROR) 1.0 else 0.0
+            is SendOutcome.Broken -> 1.0
+            is SendOutcome.NotRun, SendOutcome.Cancelled -> return
+        }
+        if (failure == 0.0) backend.connectFailures = 0
+        backend.failureShare += FAILURE_WEIGHT * (failure - backend.failureShare)
+    }
+
+    private fun note(backend: Backend, load: LoadReport?, nowMs: Long) {
+        if (load == null) return
+        backend.reported = load
+        backend.reportedMs = nowMs
+    }
+
+    private fun avoid(call: Call, send: Send) {
+        when (val place = send.place) {
+            is SendPlace.AtServer -> call.avoided += place.server
+            is SendPlace.AtPeer -> call.avoidedPeers += place.vm
+        }
+    }
+
+    private fun backendOf(world: GatewayWorld, send: Send): Backend? =
+        (send.place as? SendPlace.AtServer)?.let { world.backends[it.server] }
+
+    private fun logEnd(tick: GatewayTick, call: Call, send: Send, outcome: Any) {
+        val details = mapOf(
+            "request" to call.spec.requestId,
+            "send" to send.id,
+            "to" to send.place,
+            "outcome" to outcome,
+            "tookMs" to tick.nowMs - send.startedMs,
+        )
+        tick.journal.log(LogEvent.SEND_ENDED, details)
+    }
+
+    private companion object {
+        const val SERVER_ERROR = 500
+
+        /** Below this many tokens the time to the first event says little about the prompt. */
+        const val LEAST_TOKENS_TO_LEARN = 500L
+        const val PROMPT_RATE_WEIGHT = 0.05
+        const val LEAST_MS_PER_TOKEN = 0.002
+        const val MOST_MS_PER_TOKEN = 0.5
+        const val CALL_WEIGHT = 0.05
+        const val FAILURE_WEIGHT = 0.15
+
+        /** First back-off after a failed connection; doubled up to four times. */
+        const val FIRST_BACK_OFF_MS = 500L
+        const val MOST_DOUBLINGS = 3
+
+        /** A server at work sends something on one of its connections more often than this. */
+        const val SILENT_SERVER_MS = 1_000L
+
+        /** A call that takes this many times what was expected is moved when it may be. */
+        const val SLOW_FACTOR = 4.0
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ShutdownSystem.kt
@@ -0,0 +1,41 @@
+/*
+ * Graceful shutdown: the process leaves the directory at once, serves what still comes until callers have moved, and
+ * stops when no call is left or the grace period ends.
+ */
+package org.pomeloladder.gateway
+
+import org.pomeloladder.decisions.LogEvent
+
+/** Kept of the grace period for closing connections and ending the process. */
+private const val STOP_RESERVE_MS = 500L
+
+/** Interval at which the end of the last call is looked for. */
+private const val CHECK_INTERVAL_MS = 50L
+
+/** Ends the process after a shutdown request. */
+class ShutdownSystem : GatewaySystem {
+    override fun run(world: GatewayWorld, tick: GatewayTick) {
+        val process = world.process
+        tick.each<ShutdownAsked> {
+            if (!process.isDraining) {
+                process.isDraining = true
+                process.drainSinceMs = tick.nowMs
+                tick.journal.log(LogEvent.DRAINING, mapOf("calls" to world.calls.size))
+            }
+        }
+        if (!process.isDraining || process.isStopped) return
+        val elapsedMs = tick.nowMs - process.drainSinceMs
+        val haveCallersMoved = elapsedMs >= world.bounds.entryTtlMs + MOVE_MARGIN_MS
+        val isTimeUp = elapsedMs >= world.bounds.shutdownGraceMs - STOP_RESERVE_MS
+        if (isTimeUp || haveCallersMoved && world.calls.size == 0) {
+            process.isStopped = true
+            tick.give(StopGateway)
+        }
+        tick.wakeAt(tick.nowMs + CHECK_INTERVAL_MS)
+    }
+
+    private companion object {
+        /** Time for a directory answer under way and a request that was sent on it. */
+        const val MOVE_MARGIN_MS = 500L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
@@ -0,0 +1,47 @@
+/*
+ * Whether a backend server may be sent to at all, and how much a cold one tolerates from this process.
+ */
+package org.pomeloladder.gateway
+
+import org.pomeloladder.configuration.VmId
+import org.pomeloladder.decisions.rendezvousOrder
+
+/** Arrivals of other calls at the same moment, kept free of a cold server's bound. */
+private const val COLD_RESERVE = 1.0
+
+/** The window of the bound on cold servers, somewhat over a second because sends arrive with different delays. */
+private const val COLD_WINDOW_MS = 1_150L
+
+/** Whether calls may go to [backend] at [nowMs]: announced, not leaving, not evacuated, reachable, in this region. */
+internal fun isUsable(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean {
+    val record = backend.record
+    return !record.isDraining &&
+        !backend.isReplaced &&
+        !backend.isHealthWanted &&
+        nowMs >= backend.unreachableUntilMs &&
+        record.domain !in world.process.view?.evacuated.orEmpty() &&
+        world.regionOf(record.domain) == world.self.region
+}
+
+/** Whether this process's share of a cold server's bound has room for one more call. */
+internal fun hasColdRoom(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean {
+    if (nowMs >= backend.coldUntilMs) return true
+    val sends = backend.coldSends
+    while (sends.isNotEmpty() && sends.first() <= nowMs - COLD_WINDOW_MS) sends.removeFirst()
+    return sends.size < coldShare(world, backend)
+}
+
+/**
+ * Calls that this process may send to a cold server within the window. All VMs of the region share the bound; where it
+ * is smaller than their number, the first in rendezvous order get one each.
+ */
+private fun coldShare(world: GatewayWorld, backend: Backend): Int {
+    val rate = world.catalog?.service(backend.record.service)?.coldRequestsPerS ?: return 0
+    val bound = (rate * world.bounds.coldOverage + world.bounds.coldSlack - COLD_RESERVE).toInt()
+    val region = world.self.region
+    val vms = world.peers.filter { it.identity.region == region }.map { it.vm } + world.self.vm
+    if (vms.size <= bound) return bound / vms.size
+    val key = backend.id.value.hashCode().toLong()
+    val rank = vms.rendezvousOrder(key, VmId::value).indexOf(world.self.vm)
+    return if (rank < bound) 1 else 0
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/Fetcher.kt
@@ -0,0 +1,141 @@
+/*
+ * Plain GET calls: the platform's store, health of backend servers, views of peers. One idle connection is kept for each
+ * address.
+ */
+package org.pomeloladder.traffic
+
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.util.ReferenceCountUtil
+import java.util.concurrent.ScheduledFuture
+import java.util.concurrent.TimeUnit
+import org.pomeloladder.configuration.Address
+
+/** The largest answer: a page of a megabyte in base64 with its fields. */
+private const val MAX_ANSWER_BYTES = 8 * 1024 * 1024
+private const val CONNECT_TIMEOUT_MS = 1_000L
+
+/** How a call ended. */
+sealed interface Fetched {
+    class Answer(val status: Int, val headers: HttpHeaders, val body: ByteArray) : Fetched
+
+    /** No usable answer in time. */
+    data class Failed(val cause: String) : Fetched
+}
+
+/** Makes GET calls on the traffic thread. */
+interface Fetcher {
+    /** Calls [done] once, at the latest after [timeoutMs]. */
+    fun get(address: Address, uri: String, timeoutMs: Long, done: (Fetched) -> Unit)
+
+    /** Runs [task] on the traffic thread after [delayMs]. */
+    fun later(delayMs: Long, task: () -> Unit)
+}
+
+/** The fetcher of production. */
+internal class RealFetcher(private val loop: EventLoop, private val localHost: String) : Fetcher {
+    private val idle = HashMap<Address, FetchConnection>()
+
+    override fun get(address: Address, uri: String, timeoutMs: Long, done: (Fetched) -> Unit) {
+        if (!loop.inEventLoop()) {
+            loop.execute { get(address, uri, timeoutMs, done) }
+            return
+        }
+        val kept = idle.remove(address)
+        if (kept != null && kept.isOpen) return kept.start(uri, timeoutMs, done)
+        val connection = FetchConnection(address)
+        val bootstrap = clientBootstrap(loop, localHost, minOf(CONNECT_TIMEOUT_MS, timeoutMs))
+            .handler(object : ChannelInitializer<Channel>() {
+                override fun initChannel(channel: Channel) {
+                    channel.pipeline().addLast(HttpClientCodec())
+                        .addLast(HttpObjectAggregator(MAX_ANSWER_BYTES))
+                        .addLast(connection)
+                }
+            })
+        bootstrap.connect(address.host, address.port).addListener { result ->
+            if (result.isSuccess) {
+                connection.start(uri, timeoutMs, done)
+            } else {
+                done(Fetched.Failed(result.cause().toString()))
+            }
+        }
+    }
+
+    override fun later(delayMs: Long, task: () -> Unit) {
+        loop.schedule(task, delayMs, TimeUnit.MILLISECONDS)
+    }
+
+    private inner class FetchConnection(private val address: Address) :
+        ChannelInboundHandlerAdapter() {
+        private lateinit var channel: Channel
+        private var done: ((Fetched) -> Unit)? = null
+        private var timer: ScheduledFuture<*>? = null
+
+        val isOpen: Boolean
+            get() = channel.isActive
+
+        override fun handlerAdded(ctx: ChannelHandlerContext) {
+            channel = ctx.channel()
+        }
+
+        fun start(uri: String, timeoutMs: Long, whenDone: (Fetched) -> Unit) {
+            done = whenDone
+            val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri)
+            request.headers().set(HttpHeaderNames.HOST, address.toString())
+            channel.writeAndFlush(request)
+            timer =
+                loop.schedule({
+                    fail("no answer in $timeoutMs ms")
+                }, timeoutMs, TimeUnit.MILLISECONDS)
+        }
+
+        override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
+            try {
+                val answer = message as? FullHttpResponse
+                if (answer == null || done == null || answer.decoderResult().isFailure) {
+                    return fail("not an answer")
+                }
+                val bytes = ByteArray(answer.content().readableBytes())
+                answer.content().readBytes(bytes)
+                if (HttpUtil.isKeepAlive(answer)) idle[address] = this else channel.close()
+                finish(Fetched.Answer(answer.status().code(), answer.headers(), bytes))
+            } finally {
+                ReferenceCountUtil.release(message)
+            }
+        }
+
+        override fun channelInactive(ctx: ChannelHandlerContext) {
+            idle.remove(address, this)
+            finish(Fetched.Failed("connection closed"))
+        }
+
+        @Deprecated("Deprecated in Netty's ChannelHandler, still the hook for inbound errors")
+        override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) =
+            fail(cause.toString())
+
+        private fun fail(cause: String) {
+            idle.remove(address, this)
+            channel.close()
+            finish(Fetched.Failed(cause))
+        }
+
+        private fun finish(result: Fetched) {
+            timer?.cancel(false)
+            val whenDone = done ?: return
+            done = null
+            whenDone(result)
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -0,0 +1,384 @@
+/*
+ * The traffic side of the route gateway: one event loop thread that owns all sockets, carries out the commands of the
+ * control thread, and reports what happens to bytes as events.
+ */
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package org.pomeloladder.traffic
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpServerCodec
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.cbor.Cbor
+import org.http4k.core.HttpHandler
+import org.http4k.core.MemoryBody
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.pomeloladder.configuration.Address
+import org.pomeloladder.configuration.BackendServerId
+import org.pomeloladder.configuration.VmId
+import org.pomeloladder.gateway.CallArrived
+import org.pomeloladder.gateway.CallId
+import org.pomeloladder.gateway.CallOrigin
+import org.pomeloladder.gateway.CallRefusal
+import org.pomeloladder.gateway.CallerLeft
+import org.pomeloladder.gateway.CancelSend
+import org.pomeloladder.gateway.CheckHealth
+import org.pomeloladder.gateway.DeliverAnswer
+import org.pomeloladder.gateway.DropConnections
+import org.pomeloladder.gateway.EndStream
+import org.pomeloladder.gateway.EntryView
+import org.pomeloladder.gateway.FetchView
+import org.pomeloladder.gateway.GatewayCommand
+import org.pomeloladder.gateway.GatewayEvent
+import org.pomeloladder.gateway.GossipMessage
+import org.pomeloladder.gateway.GossipReceived
+import org.pomeloladder.gateway.HealthRead
+import org.pomeloladder.gateway.LoadReport
+import org.pomeloladder.gateway.PublishEntryView
+import org.pomeloladder.gateway.PublishedView
+import org.pomeloladder.gateway.RefuseCall
+import org.pomeloladder.gateway.SendEnded
+import org.pomeloladder.gateway.SendGossip
+import org.pomeloladder.gateway.SendId
+import org.pomeloladder.gateway.SendOutcome
+import org.pomeloladder.gateway.SendQuiet
+import org.pomeloladder.gateway.SendStarted
+import org.pomeloladder.gateway.SendTarget
+import org.pomeloladder.gateway.SendUnsent
+import org.pomeloladder.gateway.ServersHeard
+import org.pomeloladder.gateway.StartSend
+import org.pomeloladder.gateway.StopGateway
+import org.pomeloladder.gateway.UnsentReason
+import org.pomeloladder.gateway.ViewRead
+import org.pomeloladder.gateway.ViewSource
+import org.pomeloladder.runtime.EventSinkOf
+
+/** Addresses of this process's own sockets. */
+data class TrafficAddresses(
+    val callers: Address,
+    val relay: Address,
+    val gossip: Address,
+    val views: Address,
+)
+
+/** Traffic of one process. */
+internal class GatewayTraffic(
+    private val addresses: TrafficAddresses,
+    private val self: VmId,
+    private val wire: Wire,
+    private val onStop: () -> Unit,
+    private val onBadDatagram: (String) -> Unit,
+) : CallerGate,
+    ServerGate {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop = group.next()
+    private val localHost = addresses.callers.host
+    private val pool = ServerPool(loop, localHost, this)
+    private val exchanges = HashMap<CallId, Exchange>()
+    private val sends = HashMap<SendId, ActiveSend>()
+    private val carriers = HashMap<SendId, ServerConnection>()
+    private val connections = LinkedHashSet<CallerConnection>()
+    private val heardServers = HashSet<BackendServerId>()
+    private val gossip = GossipChannel(loop, addresses.gossip, ::gossiped, onBadDatagram)
+    private val listeners = ArrayList<Channel>()
+    private lateinit var events: EventSinkOf<GatewayEvent>
+    private var nextCall = 0L
+    private val cbor = Cbor
+
+    /** Plain calls on the same thread. */
+    val fetcher: Fetcher = RealFetcher(loop, localHost)
+
+    @Volatile
+    override var entry = EntryView()
+        private set
+
+    /** Opens all sockets. [apis] are small handlers by address. */
+    fun start(events: EventSinkOf<GatewayEvent>, apis: Map<Address, HttpHandler>) {
+        this.events = events
+        gossip.open()
+        listeners += listen(addresses.callers, isRelay = false)
+        listeners += listen(addresses.relay, isRelay = true)
+        apis.forEach { (address, handler) -> ApiListener(address, handler).open(group) }
+        ApiListener(addresses.views, ::viewFor).open(group)
+        loop.scheduleAtFixedRate(::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS)
+    }
+
+    /** Hands a command of the control thread over; it is carried out on the traffic thread. */
+    fun execute(command: GatewayCommand) {
+        if (command is PublishEntryView) {
+            publish(command.view)
+        } else {
+            loop.execute {
+                carryOut(command)
+            }
+        }
+    }
+
+    /** Closes all sockets. */
+    fun close() {
+        group.shutdownGracefully(0, CLOSE_MS, TimeUnit.MILLISECONDS).await(CLOSE_MS * 2)
+    }
+
+    private fun listen(address: Address, isRelay: Boolean): Channel = ServerBootstrap().group(group)
+        .channel(NioServerSocketChannel::class.java)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.SO_KEEPALIVE, true)
+        .childHandler(object : ChannelInitializer<Channel>() {
+            override fun initChannel(channel: Channel) {
+                val headBytes =
+                    entry.limits.maxHeaderBytes + if (isRelay) RELAY_HEAD_BYTES else 0
+                channel.pipeline()
+                    .addLast(HttpServerCodec(headBytes, headBytes, CHUNK_BYTES))
+                    .addLast(CallerConnection(this@GatewayTraffic, isRelay))
+            }
+        })
+        .bind(InetSocketAddress(address.host, address.port)).sync().channel()
+
+    private fun publish(view: EntryView) {
+        val isDrainStart = view.isDraining && !entry.isDraining
+        entry = view
+        if (isDrainStart) {
+            loop.schedule(::closeIdleCallers, IDLE_CLOSE_AFTER_MS, TimeUnit.MILLISECONDS)
+        }
+    }
+
+    private fun closeIdleCallers() = connections.toList().forEach { it.closeWhenIdle() }
+
+    private fun carryOut(command: GatewayCommand) {
+        when (command) {
+            is StartSend -> startSend(command)
+            is CancelSend -> cancelSend(command.send)
+            is DeliverAnswer -> deliver(command)
+            is EndStream -> exchanges[command.call]?.sink?.endStream()
+            is RefuseCall ->
+                exchanges[command.call]?.sink?.refuse(command.reason, command.retryAfterMs)
+            is SendGossip -> gossip.send(command.to, command.message)
+            is FetchView -> fetchView(command.from)
+            is CheckHealth -> checkHealth(command)
+            is DropConnections -> pool.drop(command.server)
+            is PublishEntryView -> publish(command.view)
+            StopGateway -> onStop()
+        }
+    }
+
+    override fun open(request: ReadRequest, isRelay: Boolean, sink: AnswerSink): Exchange? {
+        val headers = withoutConnectionFields(request.head.headers())
+        val envelope = Relay.take(headers)
+        val read = wire.readCall(request.head.uri(), headers) ?: return null
+        val spec = when {
+            !isRelay -> read
+            envelope == null -> return null
+            else -> read.copy(
+                budgetMs = envelope.remainingMs,
+                resumeAfter = envelope.resumeAfter,
+                origin = CallOrigin.Peer(envelope.from, envelope.catalogVersion, envelope.isRepeat),
+            )
+        }
+        val call = CallId(++nextCall)
+        val exchange = Exchange(
+            call = call,
+            spec = spec,
+            method = request.head.method(),
+            uri = request.head.uri(),
+            headers = headers,
+            body = request.body,
+            sink = sink,
+        )
+        exchanges[call] = exchange
+        events.post(CallArrived(call, spec))
+        return exchange
+    }
+
+    override fun abandon(exchange: Exchange) {
+        exchanges.remove(exchange.call)
+        events.post(CallerLeft(exchange.call))
+    }
+
+    override fun close(exchange: Exchange) {
+        exchanges.remove(exchange.call)
+    }
+
+    override fun refusal(reason: CallRefusal, retryAfterMs: Long?, headers: HttpHeaders): Int =
+        wire.writeRefusal(reason, retryAfterMs, headers)
+
+    override fun register(connection: CallerConnection) {
+        connections += connection
+    }
+
+    override fun unregister(connection: CallerConnection) {
+        connections -= connection
+    }
+
+    private fun startSend(command: StartSend) {
+        val exchange = exchanges[command.call]
+        if (exchange == null) {
+            events.post(SendEnded(command.send, SendOutcome.Cancelled, null))
+            return
+        }
+        val send = ActiveSend(
+            id = command.send,
+            exchange = exchange,
+            target = command.target,
+            isStream = command.isStream,
+            headers = headersFor(command, exchange),
+        )
+        sends[send.id] = send
+        pool.take(command.target, command.connectTimeoutMs) { connected(send, it) }
+    }
+
+    private fun headersFor(command: StartSend, exchange: Exchange): HttpHeaders {
+        val headers = exchange.headers.copy()
+        when (val target = command.target) {
+            is SendTarget.Server -> {
+                val resumeAfter = exchange.lastEventId
+                val head = ServerHead(target, command.remainingMs, command.priority, resumeAfter)
+                wire.writeServerHead(headers, head)
+            }
+            is SendTarget.Peer -> Relay.write(
+                headers,
+                RelayEnvelope(
+                    from = self,
+                    catalogVersion = target.catalogVersion,
+                    remainingMs = command.remainingMs,
+                    isRepeat = target.isRepeat,
+                    resumeAfter = exchange.lastEventId,
+                ),
+            )
+        }
+        return headers
+    }
+
+    private fun connected(send: ActiveSend, result: Connection) {
+        val isWanted = sends[send.id] === send
+        when (result) {
+            is Connection.Ready -> if (isWanted) {
+                carriers[send.id] = result.connection
+                result.connection.start(send)
+            } else {
+                pool.keep(result.connection)
+            }
+            Connection.Failed -> unsent(send, isWanted, UnsentReason.CONNECT_FAILED)
+            Connection.NoneLeft -> unsent(send, isWanted, UnsentReason.NO_CONNECTION_LEFT)
+        }
+    }
+
+    private fun unsent(send: ActiveSend, isWanted: Boolean, reason: UnsentReason) {
+        if (!isWanted) return
+        sends.remove(send.id)
+        events.post(SendUnsent(send.id, reason))
+    }
+
+    private fun cancelSend(id: SendId) {
+        sends.remove(id)
+        carriers.remove(id)?.cancel()
+    }
+
+    private fun deliver(command: DeliverAnswer) {
+        val exchange = exchanges[command.call] ?: return
+        val answer = exchange.held[command.send] ?: return
+        exchange.sink.answer(answer.head.status, answer.headers, answer.body)
+    }
+
+    override fun read(wire: HttpResponse): AnswerHead =
+        this.wire.readAnswer(wire.status().code(), wire.headers())
+
+    override fun heard(target: SendTarget) {
+        if (target is SendTarget.Server) heardServers += target.id
+    }
+
+    override fun started(send: ActiveSend, load: LoadReport?) =
+        events.post(SendStarted(send.id, load))
+
+    override fun ended(
+        send: ActiveSend,
+        outcome: SendOutcome,
+        load: LoadReport?,
+        connection: ServerConnection?,
+    ) {
+        sends.remove(send.id)
+        carriers.remove(send.id)
+        if (connection != null) pool.keep(connection)
+        events.post(SendEnded(send.id, outcome, load))
+    }
+
+    override fun closed(connection: ServerConnection) = pool.closed(connection)
+
+    private fun gossiped(from: Address, message: GossipMessage) =
+        events.post(GossipReceived(from, message))
+
+    private fun checkHealth(command: CheckHealth) {
+        fetcher.get(command.address, command.path, HEALTH_TIMEOUT_MS) { result ->
+            val health = (result as? Fetched.Answer)?.let { wire.readHealth(it.status, it.headers) }
+            val event = HealthRead(
+                server = command.server,
+                isHealthy = health?.isHealthy == true,
+                coldForMs = health?.coldForMs,
+                load = health?.load,
+            )
+            events.post(event)
+        }
+    }
+
+    private fun fetchView(from: Address) {
+        val views = Address(from.host, addresses.views.port)
+        fetcher.get(views, VIEW_PATH, VIEW_TIMEOUT_MS) { result ->
+            if (result is Fetched.Answer && result.status == Status.OK.code) {
+                val view = cbor.decodeFromByteArray(PublishedView.serializer(), result.body)
+                events.post(ViewRead(view, ViewSource.PEER))
+            }
+        }
+    }
+
+    private fun viewFor(request: Request): Response {
+        val view = entry.published
+        if (request.uri.path != VIEW_PATH || view == null) return Response(Status.NOT_FOUND)
+        val bytes = cbor.encodeToByteArray(PublishedView.serializer(), view)
+        return Response(Status.OK).body(MemoryBody(bytes))
+    }
+
+    private fun sweep() {
+        val nowNanos = System.nanoTime()
+        if (heardServers.isNotEmpty()) {
+            events.post(ServersHeard(heardServers.toSet()))
+            heardServers.clear()
+        }
+        for (send in sends.values) {
+            val quietMs = (nowNanos - send.quietSinceNanos) / NANOS_PER_MS
+            if (quietMs >= QUIET_MS) events.post(SendQuiet(send.id, quietMs))
+        }
+        connections.toList().forEach { it.closeIfOverdue(nowNanos) }
+        pool.closeStale()
+    }
+
+    private companion object {
+        /** Interval of the look at idle connections and quiet sends. */
+        const val SWEEP_MS = 100L
+
+        /** A send that is quiet for less is not worth a look of the control thread. */
+        const val QUIET_MS = 400L
+        const val NANOS_PER_MS = 1_000_000L
+        const val BACKLOG = 1_024
+        const val CHUNK_BYTES = 65_536
+        const val RELAY_HEAD_BYTES = 1_024
+        const val HEALTH_TIMEOUT_MS = 400L
+        const val VIEW_TIMEOUT_MS = 1_500L
+        const val VIEW_PATH = "/view"
+        const val CLOSE_MS = 100L
+
+        /** Callers get a new directory answer before their idle connections are closed. */
+        const val IDLE_CLOSE_AFTER_MS = 2_000L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -0,0 +1,265 @@
+/*
+ * One connection to a backend server or to a peer's relay listener. It carries one request at a time. Bytes that belong
+ * to no request, or to another one, are never passed on, and the connection is not used again after them.
+ */
+package org.pomeloladder.traffic
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import java.io.ByteArrayOutputStream
+import org.pomeloladder.gateway.BreakReason
+import org.pomeloladder.gateway.LoadReport
+import org.pomeloladder.gateway.NotRunReason
+import org.pomeloladder.gateway.SendId
+import org.pomeloladder.gateway.SendOutcome
+import org.pomeloladder.gateway.SendTarget
+
+/** A request on its way to a server. */
+internal class ActiveSend(
+    val id: SendId,
+    val exchange: Exchange,
+    val target: SendTarget,
+    val isStream: Boolean,
+    val headers: HttpHeaders,
+) {
+    var quietSinceNanos = System.nanoTime()
+    var isPassedOn = false
+    val splitter = EventSplitter()
+    val body = ByteArrayOutputStream()
+}
+
+/** What a server connection reports. */
+internal interface ServerGate {
+    fun read(wire: HttpResponse): AnswerHead
+
+    fun heard(target: SendTarget)
+
+    fun started(send: ActiveSend, load: LoadReport?)
+
+    /** [connection] is null when it cannot carry another request. */
+    fun ended(
+        send: ActiveSend,
+        outcome: SendOutcome,
+        load: LoadReport?,
+        connection: ServerConnection?,
+    )
+
+    fun closed(connection: ServerConnection)
+}
+
+/** One outbound connection. */
+internal class ServerConnection(val target: SendTarget, private val gate: ServerGate) :
+    ChannelInboundHandlerAdapter() {
+    private lateinit var channel: Channel
+    private var send: ActiveSend? = null
+    private var response: HttpResponse? = null
+    private var head: AnswerHead? = null
+    private var isSkipping = false
+    private var isReusable = true
+    private var wasReset = false
+    var keepMs: Long? = null
+        private set
+    var idleSinceNanos = System.nanoTime()
+        private set
+
+    val isOpen: Boolean
+        get() = isReusable && channel.isActive
+
+    override fun handlerAdded(ctx: ChannelHandlerContext) {
+        channel = ctx.channel()
+    }
+
+    /** Writes the request of [active]. The connection must be idle. */
+    fun start(active: ActiveSend) {
+        check(send == null) { "a connection carries one request at a time" }
+        send = active
+        active.quietSinceNanos = System.nanoTime()
+        val exchange = active.exchange
+        val request = DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            exchange.method,
+            exchange.uri,
+            Unpooled.wrappedBuffer(exchange.body),
+        )
+        request.headers().set(active.headers)
+        if (exchange.body.isNotEmpty() ||
+            exchange.headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+        ) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, exchange.body.size)
+        }
+        channel.writeAndFlush(request)
+    }
+
+    /** Drops the request under way; the server sees the connection close. */
+    fun cancel() {
+        send = null
+        close()
+    }
+
+    fun close() {
+        isReusable = false
+        channel.close()
+    }
+
+    override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
+        try {
+            val active = send
+            if (active == null) {
+                // Bytes that nobody asked for.
+                close()
+                return
+            }
+            gate.heard(target)
+            active.quietSinceNanos = System.nanoTime()
+            if (message is HttpResponse) begin(active, message)
+            val current = send
+            if (message is HttpContent && current != null && response != null) add(current, message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        isReusable = false
+        gate.closed(this)
+        finish(SendOutcome.Broken(BreakReason.CONNECTION_LOST))
+    }
+
+    @Deprecated("Deprecated in Netty's ChannelHandler, still the hook for inbound errors")
+    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+        wasReset = true
+        ctx.close()
+    }
+
+    private fun begin(active: ActiveSend, message: HttpResponse) {
+        if (message.decoderResult().isFailure) {
+            isReusable = false
+            return finish(SendOutcome.Broken(BreakReason.NOT_HTTP))
+        }
+        if (message.status().code() < FIRST_FINAL_STATUS) return
+        val read = gate.read(message)
+        val isOther = read.requestId != null &&
+            read.requestId != active.exchange.spec.requestId.value
+        response = message
+        head = read
+        isSkipping = isOther
+        if (isOther) isReusable = false
+        if (!HttpUtil.isKeepAlive(message)) isReusable = false
+        keepMs = keepAliveMs(message.headers())
+    }
+
+    private fun add(active: ActiveSend, content: HttpContent) {
+        val read = checkNotNull(head)
+        if (content.decoderResult().isFailure) {
+            isReusable = false
+            return finish(SendOutcome.Broken(BreakReason.NOT_HTTP))
+        }
+        if (!isSkipping && !addBody(active, read, content.content())) return
+        if (content !is LastHttpContent) return
+        if (isSkipping) {
+            isSkipping = false
+            response = null
+            return
+        }
+        if (isUnframed() && wasReset) return finish(SendOutcome.Broken(BreakReason.TRUNCATED))
+        if (isUnframed()) isReusable = false
+        complete(active, read)
+    }
+
+    private fun isUnframed(): Boolean {
+        val message = response ?: return false
+        return !HttpUtil.isTransferEncodingChunked(message) && !HttpUtil.isContentLengthSet(message)
+    }
+
+    private fun isPassable(active: ActiveSend, read: AnswerHead) = active.isStream &&
+        read.isSuccess &&
+        read.isSigned &&
+        !read.isEncoded &&
+        read.requestId != null
+
+    private fun addBody(active: ActiveSend, read: AnswerHead, bytes: ByteBuf): Boolean {
+        if (!isPassable(active, read)) {
+            bytes.readBytes(active.body, bytes.readableBytes())
+            return true
+        }
+        var isInOrder = true
+        active.splitter.add(bytes) { event ->
+            if (isInOrder) isInOrder = pass(active, read, event)
+        }
+        if (!isInOrder) {
+            isReusable = false
+            finish(SendOutcome.Broken(BreakReason.WRONG_ORDER))
+        }
+        return isInOrder
+    }
+
+    private fun pass(active: ActiveSend, read: AnswerHead, event: StreamEvent): Boolean {
+        val headers = checkNotNull(response).headers()
+        if (!active.exchange.pass(event, read, headers)) return false
+        if (!active.isPassedOn) {
+            active.isPassedOn = true
+            gate.started(active, read.load)
+        }
+        return true
+    }
+
+    private fun complete(active: ActiveSend, read: AnswerHead) {
+        val headers = checkNotNull(response).headers()
+        if (active.isPassedOn) {
+            val outcome = if (active.splitter.hasPartialEvent) {
+                SendOutcome.Broken(BreakReason.TRUNCATED)
+            } else {
+                SendOutcome.Answered(read.status)
+            }
+            return finish(outcome)
+        }
+        val outcome = judge(active, read, headers)
+        if (outcome is SendOutcome.Answered) {
+            active.exchange.held[active.id] = HeldAnswer(read, headers, active.body.toByteArray())
+        }
+        finish(outcome)
+    }
+
+    private fun judge(active: ActiveSend, read: AnswerHead, headers: HttpHeaders): SendOutcome =
+        when {
+            active.target is SendTarget.Peer && Relay.isRefused(headers) ->
+                SendOutcome.NotRun(NotRunReason.PEER_REFUSED, hasArrived = false)
+            read.isWrongInstance -> SendOutcome.NotRun(NotRunReason.WRONG_INSTANCE)
+            read.isNotRun && read.isPromise -> SendOutcome.NotRun(NotRunReason.FULL)
+            read.isNotRun -> SendOutcome.NotRun(NotRunReason.REJECTED)
+            // Without the server's own word these statuses would promise what is not known.
+            read.isPromise -> SendOutcome.Broken(BreakReason.UNSIGNED)
+            read.isSuccess && (!read.isSigned || read.isEncoded || read.requestId == null) ->
+                SendOutcome.Broken(BreakReason.UNSIGNED)
+            active.isStream && read.isSuccess -> SendOutcome.Broken(BreakReason.TRUNCATED)
+            else -> SendOutcome.Answered(read.status)
+        }
+
+    private fun finish(outcome: SendOutcome) {
+        val active = send ?: return
+        val load = head?.load
+        send = null
+        response = null
+        head = null
+        idleSinceNanos = System.nanoTime()
+        val isKept = isReusable && channel.isActive
+        gate.ended(active, outcome, load, if (isKept) this else null)
+        if (!isKept && channel.isActive) close()
+    }
+
+    private companion object {
+        const val FIRST_FINAL_STATUS = 200
+    }
+}
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/ControlThread.kt
+++ b/runtime/src/main/kotlin/org/pomeloladder/runtime/ControlThread.kt
@@ -2,13 +2,11 @@
  * The control thread: the only thread that runs the scheduler. It blocks until an event arrives or the next timer is
  * due, and hands commands to the traffic side, which must not block.
  */
-package org.pomeloladder.daemon
+package org.pomeloladder.runtime
 
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
-import org.pomeloladder.decisions.Command
-import org.pomeloladder.decisions.Event
-import org.pomeloladder.decisions.Scheduler
+import org.pomeloladder.decisions.SchedulerOf
 
 /** Most events of one tick, so that a burst cannot starve timers. */
 private const val MAX_EVENTS_PER_TICK = 256
@@ -19,19 +17,19 @@
 private const val NANOS_PER_MS = 1_000_000L
 
 /** Takes events for the control thread. */
-fun interface EventSink {
-    fun post(event: Event)
+fun interface EventSinkOf<E : Any> {
+    fun post(event: E)
 }
 
 /** Runs [scheduler] until [stop]. [execute] carries out commands and must not block. */
-class ControlThread(
-    private val scheduler: Scheduler,
+class ControlThread<W : Any, E : Any, C : Any>(
+    private val scheduler: SchedulerOf<W, E, C>,
     private val clock: MonotonicClock,
     private val metrics: TickMeter,
-    private val execute: (Command) -> Unit,
+    private val execute: (C) -> Unit,
     private val onBroken: (Throwable) -> Unit,
-) : EventSink {
-    private val inbox = LinkedBlockingQueue<Event>()
+) : EventSinkOf<E> {
+    private val inbox = LinkedBlockingQueue<E>()
     private val thread = Thread(::run, "control")
 
     @Volatile
@@ -39,7 +37,7 @@
 
     fun start() = thread.start()
 
-    override fun post(event: Event) {
+    override fun post(event: E) {
         inbox.add(event)
     }
 
@@ -52,7 +50,7 @@
 
     private fun run() {
         var nextTickMs = clock.nowMs()
-        val batch = ArrayList<Event>(MAX_EVENTS_PER_TICK)
+        val batch = ArrayList<E>(MAX_EVENTS_PER_TICK)
         while (isRunning) {
             try {
                 batch.clear()
@@ -68,7 +66,7 @@
         }
     }
 
-    private fun await(batch: MutableList<Event>, untilMs: Long) {
+    private fun await(batch: MutableList<E>, untilMs: Long) {
         val waitMs = minOf(untilMs - clock.nowMs(), MAX_IDLE_MS)
         val first = if (waitMs > 0) inbox.poll(waitMs, TimeUnit.MILLISECONDS) else inbox.poll()
         if (first == null) return
@@ -76,7 +74,7 @@
         inbox.drainTo(batch, MAX_EVENTS_PER_TICK - 1)
     }
 
-    private fun tick(batch: List<Event>): Long {
+    private fun tick(batch: List<E>): Long {
         val nowMs = clock.nowMs()
         val startNanos = System.nanoTime()
         val result = scheduler.tick(nowMs, batch)
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/Metrics.kt
+++ b/runtime/src/main/kotlin/org/pomeloladder/runtime/Metrics.kt
@@ -2,7 +2,7 @@
  * Metrics of one process, in its own registry. Label values are reason codes and never ids, so that their number stays
  * bounded.
  */
-package org.pomeloladder.daemon
+package org.pomeloladder.runtime
 
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Gauge
@@ -13,7 +13,6 @@
 import java.io.ByteArrayOutputStream
 import org.pomeloladder.decisions.Counter as DecisionCounter
 import org.pomeloladder.decisions.Latency
-import org.pomeloladder.peer.PeerTrafficMeter
 
 private const val NANOS_PER_SECOND = 1e9
 private const val MS_PER_SECOND = 1e3
@@ -30,8 +29,11 @@
     val ownedServers: Int,
 )
 
-/** All metrics of the process. */
-class Metrics(meter: PeerTrafficMeter) : TickMeter {
+/** Bytes of one channel of peer connections since start. */
+class PeerBytes(val channel: String, val direction: String, val read: () -> Long)
+
+/** All metrics of the process. [peerBytes] is empty where a process has no peer connections of its own. */
+class Metrics(peerBytes: List<PeerBytes> = emptyList()) : TickMeter {
     private val registry = PrometheusRegistry()
     private val counters = DecisionCounter.entries.associateWith { counter ->
         Counter.builder().name(counter.metricName).help(counter.help)
@@ -55,13 +57,16 @@
         gauge("pomeloladder_owned_servers", "Backend servers that this process owns")
 
     init {
+        if (peerBytes.isNotEmpty()) register(peerBytes)
+    }
+
+    private fun register(peerBytes: List<PeerBytes>) {
         GaugeWithCallback.builder().name("pomeloladder_peer_bytes")
             .help("Bytes on peer connections since start").labelNames("channel", "direction")
             .callback { callback ->
-                callback.call(meter.controlSentBytes.toDouble(), "control", "sent")
-                callback.call(meter.controlReceivedBytes.toDouble(), "control", "received")
-                callback.call(meter.trafficSentBytes.toDouble(), "traffic", "sent")
-                callback.call(meter.trafficReceivedBytes.toDouble(), "traffic", "received")
+                for (bytes in peerBytes) {
+                    callback.call(bytes.read().toDouble(), bytes.channel, bytes.direction)
+                }
             }
             .register(registry)
     }
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/RealJournal.kt
+++ b/runtime/src/main/kotlin/org/pomeloladder/runtime/RealJournal.kt
@@ -1,7 +1,7 @@
 /*
  * Writes log events with Log4j 2 and counts with the Prometheus client.
  */
-package org.pomeloladder.daemon
+package org.pomeloladder.runtime
 
 import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
--- a/daemon/src/test/kotlin/org/pomeloladder/daemon/MetricsTest.kt
+++ b/runtime/src/test/kotlin/org/pomeloladder/runtime/MetricsTest.kt
@@ -1,16 +1,15 @@
-package org.pomeloladder.daemon
+package org.pomeloladder.runtime
 
 import org.junit.jupiter.api.Test
 import org.pomeloladder.decisions.Counter
 import org.pomeloladder.decisions.Latency
 import org.pomeloladder.decisions.RefusalReason
-import org.pomeloladder.peer.PeerTrafficMeter
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEmpty
 
 class MetricsTest {
-    private val metrics = Metrics(PeerTrafficMeter())
+    private val metrics = Metrics(listOf(PeerBytes("control", "sent") { 0L }))
     private val journal = RealJournal(metrics)
 
     @Test
--- a/daemon/src/test/kotlin/org/pomeloladder/daemon/RealJournalTest.kt
+++ b/runtime/src/test/kotlin/org/pomeloladder/runtime/RealJournalTest.kt
@@ -1,4 +1,4 @@
-package org.pomeloladder.daemon
+package org.pomeloladder.runtime
 
 import java.io.File
 import org.junit.jupiter.api.Test
