--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -22,7 +22,7 @@
     fun place(world: GatewayWorld, tick: GatewayTick, call: Call) {
         val remainingMs = call.remainingMs(tick.nowMs)
         if (remainingMs < LEAST_SEND_MS) return fail(world, tick, call, CallRefusal.TIMED_OUT)
-        if (call.runs >= call.route.maxSends) {
+        if (call.runs >= call.mostRuns) {
             return fail(world, tick, call, CallRefusal.OUTCOME_UNKNOWN)
         }
         when (val choice = placement.choose(world, call, tick.nowMs, tick.random)) {
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Catalog.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Catalog.kt
@@ -81,5 +81,8 @@
     fun match(host: String, path: String): Route? =
         routesByHost[host]?.firstOrNull { path.startsWith(it.prefix) }
 
+    /** All routes of [host]. */
+    fun routesOf(host: String): List<Route> = routesByHost[host].orEmpty()
+
     fun service(id: ServiceId): ServiceSpec? = servicesById[id]
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -90,6 +90,10 @@
     /** Servers that may have run the call. */
     var runs = 0
 
+    /** A relayed call runs once here; the process that took it from its caller counts further runs. */
+    val mostRuns: Int
+        get() = if (spec.origin is CallOrigin.Peer) 1 else route.maxSends
+
     /** Arrivals at servers, whether run or not. */
     var arrivals = 0
     var current: SendId? = null
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
@@ -5,8 +5,6 @@
 
 import org.pomeloladder.configuration.Address
 import org.pomeloladder.configuration.BackendServerId
-import org.pomeloladder.configuration.FailureDomainId
-import org.pomeloladder.configuration.RegionId
 import org.pomeloladder.configuration.VmId
 
 /** Work for the traffic thread. */
@@ -90,20 +88,3 @@
 
 /** Ends the process: all calls are over or the time for them is up. */
 data object StopGateway : GatewayCommand
-
-/** What the listeners answer without asking the control thread. */
-data class EntryView(
-    val isReady: Boolean = false,
-    val isDraining: Boolean = false,
-    val limits: CallerLimits = CallerLimits(),
-    val entries: List<EntryPoint> = emptyList(),
-    val published: PublishedView? = null,
-)
-
-/** An entry VM that callers may use. */
-data class EntryPoint(
-    val vm: VmId,
-    val callers: Address,
-    val region: RegionId,
-    val domain: FailureDomainId,
-)
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -160,10 +160,11 @@
         val load = maxOf(backend.load, reportedLoad(backend))
         val slowdown = backend.reported?.slowdown ?: 1.0
         val waiting = (load + 1 - slots).coerceAtLeast(0)
-        val queueMs = waiting * state.callMs.coerceAtLeast(LEAST_CALL_MS) / slots
+        val callMs = state.callMs.coerceAtLeast(LEAST_CALL_MS)
+        val queueMs = waiting * callMs / slots
         if (!isEngine) {
-            val crowdMs = state.callMs * load / slots * PLAIN_CROWDING
-            return slowdown * (state.callMs + queueMs + crowdMs)
+            val crowdMs = callMs * load / slots * PLAIN_CROWDING
+            return slowdown * (callMs + queueMs + crowdMs)
         }
         val ahead = backend.pendingPromptTokens + backend.peerPendingTokens
         val promptMs = (tokens + ahead) * state.msPerPromptToken
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -181,7 +181,7 @@
         if (event.quietMs < patienceMs) return
         val isSilent = tick.nowMs - backend.heardMs >= SILENT_SERVER_MS
         if (isSilent) suspect(tick, backend)
-        if (!call.route.isRepeatable || call.runs + 1 >= call.route.maxSends) return
+        if (!call.route.isRepeatable || call.runs + 1 >= call.mostRuns) return
         stopSend(world, tick, call)
         logEnd(tick, call, send, "quiet for ${event.quietMs} ms")
         broken(world, tick, call, send)
--- /dev/null
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/PeerSystemTest.kt
@@ -0,0 +1,68 @@
+package org.pomeloladder.gateway
+
+import org.junit.jupiter.api.Test
+import org.pomeloladder.configuration.BackendServerId
+import strikt.api.expectThat
+import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+
+class PeerSystemTest {
+    private val gateway = TestGateway()
+    private val near = identity("near", NORTH)
+
+    private val peer: Peer
+        get() = checkNotNull(gateway.world.peers[near.vm])
+
+    @Test
+    fun `a peer that never echoes is not live, so that a link of one way carries no calls`() {
+        gateway.tick(
+            GossipReceived(near.gossip, GossipMessage(near, sentMs = 1, isReady = true)),
+        )
+
+        expectThat(peer.isLive).isFalse()
+    }
+
+    @Test
+    fun `a silent peer leaves the directory within seconds`() {
+        gateway.publish(1, catalog(route("lookup")))
+        gateway.hear(near)
+        val before = gateway.world.process.hasPublished?.entries.orEmpty().map { it.vm.value }
+        gateway.tick(afterMs = 2_100)
+        val after = gateway.world.process.hasPublished?.entries.orEmpty().map { it.vm.value }
+
+        expectThat(before).containsExactlyInAnyOrder("near", "self")
+        expectThat(after).containsExactlyInAnyOrder("self")
+    }
+
+    @Test
+    fun `a restarted peer is taken although its clock went back`() {
+        gateway.hear(identity("near", NORTH, incarnation = 100))
+        gateway.nowMs += 1_500
+        gateway.hear(identity("near", NORTH, incarnation = 50))
+
+        expectThat(peer.incarnation.value).isEqualTo(50)
+        expectThat(peer.isLive).isTrue()
+    }
+
+    @Test
+    fun `load of the region's other processes counts at a server, so that none of them floods it`() {
+        gateway.publish(1, catalog(route("lookup")), server("a"), server("b"))
+        val share = ServerShare(BackendServerId("a"), inFlight = 5, pendingPromptTokens = 0)
+        gateway.hear(near) { it.copy(shares = listOf(share)) }
+        val first = List(3) { gateway.call(route("lookup")).second.only<StartSend>().server }
+
+        expectThat(first).isEqualTo(listOf("b", "b", "b"))
+    }
+
+    @Test
+    fun `a shutdown is told at once, so that the directory stops naming this process`() {
+        gateway.hear(near)
+        val commands = gateway.tick(ShutdownAsked)
+        val next = gateway.tick()
+
+        val told = (commands + next).all<SendGossip>().any { it.message.isDraining }
+        expectThat(told).isTrue()
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
@@ -0,0 +1,154 @@
+package org.pomeloladder.gateway
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNull
+
+class SendSystemTest {
+    private val gateway = TestGateway()
+    private val lookup = route("lookup")
+    private val payment = route("payment") {
+        kind = RouteKind.NON_IDEMPOTENT
+        maxSends = 1
+    }
+    private val brief = route("brief") {
+        kind = RouteKind.STREAMING
+        service = MODEL
+        isResumable = true
+        timeoutMs = 5_000
+    }
+    private val chat = route("chat") {
+        kind = RouteKind.STREAMING
+        service = MODEL
+        maxSends = 1
+        timeoutMs = 12_000
+    }
+    private val catalog = catalog(lookup, payment, brief, chat)
+
+    init {
+        gateway.publish(
+            1,
+            catalog,
+            server("a"),
+            server("b"),
+            server("c"),
+            server("m1", MODEL),
+            server("m2", MODEL),
+        )
+    }
+
+    private fun broken(send: StartSend) =
+        SendEnded(send.send, SendOutcome.Broken(BreakReason.CONNECTION_LOST), null)
+
+    @Test
+    fun `a call that may not be repeated ends as unknown after a broken answer, so that it runs at most once`() {
+        val (_, commands) = gateway.call(payment)
+        val after = gateway.tick(broken(commands.only()))
+
+        expectThat(after.all<StartSend>()).isEmpty()
+        expectThat(after.only<RefuseCall>().reason).isEqualTo(CallRefusal.OUTCOME_UNKNOWN)
+    }
+
+    @Test
+    fun `a call that was proved not run goes to another server, so that a full one costs no answer`() {
+        val (_, commands) = gateway.call(payment)
+        val first = commands.only<StartSend>()
+        val after = gateway.tick(SendEnded(first.send, SendOutcome.NotRun(NotRunReason.FULL), null))
+
+        expectThat(after.only<StartSend>().server).isNotEqualTo(first.server)
+    }
+
+    @Test
+    fun `a call that may be repeated is sent again after a server error, and no more often than its route allows`() {
+        val (_, commands) = gateway.call(lookup)
+        val first = commands.only<StartSend>()
+        val second = gateway.tick(SendEnded(first.send, SendOutcome.Answered(500), null))
+            .only<StartSend>()
+        val last = gateway.tick(SendEnded(second.send, SendOutcome.Answered(500), null))
+
+        expectThat(second.server).isNotEqualTo(first.server)
+        expectThat(last.all<StartSend>()).isEmpty()
+        expectThat(last.only<DeliverAnswer>().send).isEqualTo(second.send)
+    }
+
+    @Test
+    fun `a relayed call runs once at the peer, so that attempts over two regions stay within the route's`() {
+        val origin = CallOrigin.Peer(identity("p", SOUTH).vm, 1, isRepeat = false)
+        val (_, commands) = gateway.call(lookup, origin = origin)
+        val first = commands.only<StartSend>()
+        val after = gateway.tick(SendEnded(first.send, SendOutcome.Answered(500), null))
+
+        expectThat(after.all<StartSend>()).isEmpty()
+        expectThat(after.only<DeliverAnswer>().send).isEqualTo(first.send)
+    }
+
+    @Test
+    fun `a broken stream that may be resumed goes on at another server`() {
+        val (_, commands) = gateway.call(brief)
+        val first = commands.only<StartSend>()
+        gateway.tick(SendStarted(first.send, null))
+        val after = gateway.tick(broken(first))
+
+        expectThat(after.only<StartSend>().server).isNotEqualTo(first.server)
+    }
+
+    @Test
+    fun `a broken stream that may not be resumed is broken off, so that two runs are never joined`() {
+        val (_, commands) = gateway.call(chat)
+        val first = commands.only<StartSend>()
+        gateway.tick(SendStarted(first.send, null))
+        val after = gateway.tick(broken(first))
+
+        expectThat(after.all<StartSend>()).isEmpty()
+        expectThat(after.only<RefuseCall>().reason).isEqualTo(CallRefusal.STREAM_BROKEN)
+    }
+
+    @Test
+    fun `a silent server loses a repeatable call, and its run is stopped first`() {
+        val (_, commands) = gateway.call(brief)
+        val first = commands.only<StartSend>()
+        val after = gateway.tick(SendQuiet(first.send, 1_500), afterMs = 1_500)
+
+        expectThat(after.only<CancelSend>().send).isEqualTo(first.send)
+        expectThat(after.only<StartSend>().server).isNotEqualTo(first.server)
+    }
+
+    @Test
+    fun `a server that answers for another instance gets nothing more, so that a reused address runs no foreign work`() {
+        val (_, commands) = gateway.call(lookup)
+        val first = commands.only<StartSend>()
+        val notRun = SendOutcome.NotRun(NotRunReason.WRONG_INSTANCE)
+        gateway.tick(SendEnded(first.send, notRun, null))
+        val others = List(20) { gateway.call(lookup).second.only<StartSend>().server }
+
+        expectThat(others.filter { it == first.server }).isEmpty()
+    }
+
+    @Test
+    fun `repeats stop at the budget, so that an outage of a service is not multiplied`() {
+        val repeats = (1..200).count {
+            val first = gateway.call(lookup).second.all<StartSend>().singleOrNull()
+            first != null &&
+                gateway.tick(SendEnded(first.send, SendOutcome.Answered(500), null))
+                    .all<StartSend>().isNotEmpty()
+        }
+
+        val bound = 0.2 * 200 + 56
+        expectThat(repeats <= bound).isEqualTo(true)
+    }
+
+    @Test
+    fun `an event of a stopped send changes nothing, so that a late answer reaches no caller`() {
+        val (call, commands) = gateway.call(lookup)
+        gateway.tick(CallerLeft(call))
+        val late = gateway.tick(
+            SendEnded(commands.only<StartSend>().send, SendOutcome.Answered(200), null),
+        )
+
+        expectThat(late.all<DeliverAnswer>()).isEmpty()
+        expectThat(gateway.world.calls[call]).isNull()
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ViewSystemTest.kt
@@ -0,0 +1,77 @@
+package org.pomeloladder.gateway
+
+import org.junit.jupiter.api.Test
+import org.pomeloladder.configuration.FailureDomainId
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+
+class ViewSystemTest {
+    private val gateway = TestGateway()
+    private val lookup = route("lookup")
+
+    @Test
+    fun `an older view changes nothing, so that a stale peer cannot take a configuration back`() {
+        gateway.publish(5, catalog(lookup, version = 3), server("a"))
+        gateway.publish(4, catalog(version = 2), source = ViewSource.PEER)
+
+        expectThat(gateway.world.catalog?.version).isEqualTo(3)
+        expectThat(gateway.world.backends.toList()).hasSize(1)
+    }
+
+    @Test
+    fun `an older catalog under a newer revision is ignored`() {
+        gateway.publish(5, catalog(lookup, version = 3))
+        gateway.publish(6, catalog(version = 2))
+
+        expectThat(gateway.world.catalog?.version).isEqualTo(3)
+    }
+
+    @Test
+    fun `a server whose entry lapsed and came back stays in use`() {
+        gateway.publish(1, catalog(lookup), server("a"))
+        gateway.publish(2, catalog(lookup))
+        val (_, meanwhile) = gateway.call(lookup)
+        gateway.publish(3, catalog(lookup), server("a"))
+        gateway.tick(afterMs = 3_000)
+
+        expectThat(meanwhile.all<StartSend>()).hasSize(1)
+        expectThat(gateway.world.backends.toList()).hasSize(1)
+    }
+
+    @Test
+    fun `a server whose entry stays away is dropped before the bound on drains`() {
+        gateway.publish(1, catalog(lookup), server("a"))
+        gateway.publish(2, catalog(lookup))
+        gateway.tick(afterMs = 3_000)
+
+        expectThat(gateway.world.backends.toList()).isEmpty()
+    }
+
+    @Test
+    fun `a view of a peer is fetched when the own watch stays behind`() {
+        gateway.publish(1, catalog(lookup))
+        gateway.hear(identity("p", NORTH)) { it.copy(revision = 9) }
+        gateway.tick()
+        gateway.nowMs += 800
+        val commands = gateway.hear(identity("p", NORTH)) { it.copy(revision = 9) }
+
+        expectThat(commands.only<FetchView>().from).isEqualTo(identity("p", NORTH).relay)
+    }
+
+    @Test
+    fun `a domain that comes back is asked for its health first, so that cold servers are not flooded`() {
+        val north = FailureDomainId("north-a")
+        gateway.publish(1, catalog(lookup), server("a"), evacuated = setOf(north))
+        gateway.publish(2, catalog(lookup), server("a"))
+        val (_, before) = gateway.call(lookup)
+        val checks = gateway.tick(afterMs = 600).all<CheckHealth>()
+        gateway.tick(HealthRead(server("a").id, isHealthy = true, coldForMs = 0, load = null))
+        val (_, after) = gateway.call(lookup)
+
+        expectThat(before.all<StartSend>()).isEmpty()
+        expectThat(checks).hasSize(1)
+        expectThat(after.all<StartSend>()).hasSize(1)
+    }
+}
