--- /dev/null
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
@@ -0,0 +1,176 @@
+package org.pomeloladder.traffic
+
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.pomeloladder.gateway.BreakReason
+import org.pomeloladder.gateway.CallerLeft
+import org.pomeloladder.gateway.CancelSend
+import org.pomeloladder.gateway.DeliverAnswer
+import org.pomeloladder.gateway.EndStream
+import org.pomeloladder.gateway.SendEnded
+import org.pomeloladder.gateway.SendOutcome
+import org.pomeloladder.gateway.SendStarted
+import org.pomeloladder.gateway.SendUnsent
+import org.pomeloladder.gateway.UnsentReason
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.endsWith
+import strikt.assertions.isEqualTo
+import strikt.assertions.startsWith
+
+class GatewayTrafficTest {
+    private val traffic = TestTraffic()
+    private val server = ScriptedServer()
+
+    @AfterEach
+    fun close() {
+        traffic.close()
+        server.close()
+    }
+
+    private fun answer(id: String, body: String) =
+        "HTTP/1.1 200 OK\r\nid: $id\r\nsigned: 1\r\nkeep-alive: timeout=5\r\n" +
+            "content-length: ${body.length}\r\n\r\n$body"
+
+    private fun streamHead(id: String) =
+        "HTTP/1.1 200 OK\r\nid: $id\r\nsigned: 1\r\ntransfer-encoding: chunked\r\n\r\n"
+
+    private fun chunk(text: String) = "${text.length.toString(16)}\r\n$text\r\n"
+
+    @Test
+    fun `a caller that closes before the first byte is noticed, so that its run can be stopped`() {
+        val caller = traffic.caller()
+        val call = traffic.request(caller, "r1")
+        val send = traffic.send(call, server)
+        val connection = server.accept()
+        connection.readHead()
+        caller.close()
+
+        expectThat(traffic.await<CallerLeft>().call).isEqualTo(call)
+        traffic.execute(CancelSend(send))
+        expectThat(connection.getInputStream().read()).isEqualTo(-1)
+    }
+
+    @Test
+    fun `an answer reaches its caller unchanged, and the connection carries the next request`() {
+        val caller = traffic.caller()
+        val connection = run {
+            val call = traffic.request(caller, "r1", "body")
+            val send = traffic.send(call, server)
+            val accepted = server.accept()
+            accepted.readHead()
+            accepted.getInputStream().readNBytes(4)
+            accepted.write(answer("r1", "first"))
+            expectThat(traffic.await<SendEnded>().outcome).isEqualTo(SendOutcome.Answered(200))
+            traffic.execute(DeliverAnswer(call, send))
+            accepted
+        }
+        val head = caller.readHead()
+        expectThat(head).contains("signed: 1")
+        expectThat(String(caller.getInputStream().readNBytes(5))).isEqualTo("first")
+
+        traffic.send(traffic.request(caller, "r2"), server)
+        expectThat(connection.readHead()).contains("id: r2")
+    }
+
+    @Test
+    fun `bytes after a complete answer end the use of the connection`() {
+        val caller = traffic.caller()
+        traffic.send(traffic.request(caller, "r1"), server)
+        val first = server.accept()
+        first.readHead()
+        first.write(answer("r1", "x") + answer("r1", "again"))
+        traffic.await<SendEnded>()
+        expectThat(first.getInputStream().read()).isEqualTo(-1)
+
+        val other = traffic.caller()
+        traffic.send(traffic.request(other, "r2"), server)
+        expectThat(server.accept().readHead()).contains("id: r2")
+    }
+
+    @Test
+    fun `a late answer to another request is left out, so that no caller gets another's`() {
+        val caller = traffic.caller()
+        val call = traffic.request(caller, "r1")
+        val send = traffic.send(call, server)
+        val connection = server.accept()
+        connection.readHead()
+        connection.write(answer("r0", "foreign") + answer("r1", "own"))
+        expectThat(traffic.await<SendEnded>().outcome).isEqualTo(SendOutcome.Answered(200))
+        traffic.execute(DeliverAnswer(call, send))
+        caller.readHead()
+
+        expectThat(String(caller.getInputStream().readNBytes(3))).isEqualTo("own")
+    }
+
+    @Test
+    fun `an answer without a length is complete at an orderly end and broken at a reset`() {
+        val head = "HTTP/1.1 200 OK\r\nid: r1\r\nsigned: 1\r\n\r\n"
+        val outcomes = listOf(true, false).map { isOrderly ->
+            val caller = traffic.caller()
+            traffic.send(traffic.request(caller, "r1"), server)
+            val connection = server.accept()
+            connection.readHead()
+            connection.write(head + "body")
+            Thread.sleep(SETTLE_MS)
+            if (isOrderly) connection.close() else connection.reset()
+            traffic.await<SendEnded>().outcome is SendOutcome.Answered
+        }
+
+        expectThat(outcomes).isEqualTo(listOf(true, false))
+    }
+
+    @Test
+    fun `a status that promises not run is not believed without the server's word`() {
+        val caller = traffic.caller()
+        traffic.send(traffic.request(caller, "r1"), server)
+        val connection = server.accept()
+        connection.readHead()
+        connection.write("HTTP/1.1 503 Busy\r\nid: r1\r\ncontent-length: 0\r\n\r\n")
+
+        expectThat(traffic.await<SendEnded>().outcome)
+            .isEqualTo(SendOutcome.Broken(BreakReason.UNSIGNED))
+    }
+
+    @Test
+    fun `a stream goes on at another server after its last whole event, within one answer`() {
+        val caller = traffic.caller()
+        val call = traffic.request(caller, "r1")
+        traffic.send(call, server, isStream = true)
+        val first = server.accept()
+        first.readHead()
+        first.write(streamHead("r1") + chunk("id: 1\ndata: a\n\n") + chunk("id: 2\nda"))
+        traffic.await<SendStarted>()
+        first.close()
+        expectThat(traffic.await<SendEnded>().outcome)
+            .isEqualTo(SendOutcome.Broken(BreakReason.CONNECTION_LOST))
+
+        traffic.send(call, server, isStream = true)
+        val second = server.accept()
+        expectThat(second.readHead()).contains("last-event-id: 1")
+        second.write(streamHead("r1") + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n")
+        traffic.await<SendStarted>()
+        traffic.await<SendEnded>()
+        traffic.execute(EndStream(call))
+
+        expectThat(caller.readHead()).startsWith("HTTP/1.1 200")
+        val body = StringBuilder()
+        while (!body.endsWith("0\r\n\r\n")) body.append(caller.getInputStream().read().toChar())
+        val events = body.toString().replace(Regex("[0-9a-f]+\r\n|\r\n"), "")
+        expectThat(events).isEqualTo("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+        expectThat(body.toString()).endsWith("0\r\n\r\n")
+    }
+
+    @Test
+    fun `a refused connection counts as unsent`() {
+        val caller = traffic.caller()
+        traffic.send(traffic.request(caller, "r1"), freePort())
+
+        expectThat(traffic.await<SendUnsent>().reason).isEqualTo(UnsentReason.CONNECT_FAILED)
+    }
+
+    private companion object {
+        /** Lets the bytes arrive before the reset, which discards what was not read. */
+        const val SETTLE_MS = 200L
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/TestTraffic.kt
@@ -0,0 +1,157 @@
+/*
+ * The traffic side on loopback, with a scripted backend server and a caller's socket in the test's hands.
+ */
+package org.pomeloladder.traffic
+
+import io.netty.handler.codec.http.HttpHeaders
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import org.pomeloladder.configuration.Address
+import org.pomeloladder.configuration.BackendServerId
+import org.pomeloladder.configuration.VmId
+import org.pomeloladder.decisions.RequestId
+import org.pomeloladder.gateway.CallArrived
+import org.pomeloladder.gateway.CallId
+import org.pomeloladder.gateway.CallRefusal
+import org.pomeloladder.gateway.CallSpec
+import org.pomeloladder.gateway.GatewayCommand
+import org.pomeloladder.gateway.GatewayEvent
+import org.pomeloladder.gateway.SendId
+import org.pomeloladder.gateway.SendQuiet
+import org.pomeloladder.gateway.SendTarget
+import org.pomeloladder.gateway.ServersHeard
+import org.pomeloladder.gateway.StartSend
+
+private const val LOOPBACK = "127.0.0.1"
+
+/** Long enough for a busy machine; waits end as soon as what they wait for happened. */
+private const val PATIENCE_MS = 10_000L
+
+/** Short names in place of a deployment's. */
+internal object TestWire : Wire {
+    override fun readCall(path: String, headers: HttpHeaders): CallSpec? {
+        val id = headers.get("id") ?: return null
+        return CallSpec(RequestId(id), headers.get("host").orEmpty(), path, 5_000, null, null)
+    }
+
+    override fun writeServerHead(headers: HttpHeaders, head: ServerHead) {
+        head.resumeAfter?.let { headers.set("last-event-id", it) }
+    }
+
+    override fun readAnswer(status: Int, headers: HttpHeaders) = AnswerHead(
+        status = status,
+        requestId = headers.get("id"),
+        isSigned = headers.contains("signed"),
+        isNotRun = headers.contains("not-run"),
+        isWrongInstance = status == 421,
+        isEncoded = headers.contains("content-encoding"),
+        load = null,
+    )
+
+    override fun readHealth(status: Int, headers: HttpHeaders) = HealthHead(status == 200, 0, null)
+
+    override fun writeRefusal(reason: CallRefusal, retryAfterMs: Long?, headers: HttpHeaders) = 503
+}
+
+/** A running traffic side. */
+internal class TestTraffic : AutoCloseable {
+    val events = LinkedBlockingQueue<GatewayEvent>()
+    private val ports = List(4) { freePort() }
+    private val traffic = GatewayTraffic(
+        addresses = TrafficAddresses(
+            callers = Address(LOOPBACK, ports[0]),
+            relay = Address(LOOPBACK, ports[1]),
+            gossip = Address(LOOPBACK, ports[2]),
+            views = Address(LOOPBACK, ports[3]),
+        ),
+        self = VmId("self"),
+        wire = TestWire,
+        onStop = {},
+        onBadDatagram = {},
+    )
+    private var nextSend = 0L
+
+    init {
+        traffic.start(events::add, emptyMap())
+    }
+
+    fun caller(): Socket = Socket(LOOPBACK, ports[0])
+
+    fun execute(command: GatewayCommand) = traffic.execute(command)
+
+    /** Starts a send of [call] to [server]. */
+    fun send(call: CallId, server: ScriptedServer, isStream: Boolean = false): SendId =
+        send(call, server.port, isStream)
+
+    fun send(call: CallId, port: Int, isStream: Boolean = false): SendId {
+        val id = SendId(++nextSend)
+        val target =
+            SendTarget.Server(BackendServerId("s"), Address(LOOPBACK, port), 10, isUnsafe = false)
+        traffic.execute(StartSend(id, call, target, 5_000, 1, isStream, 1_000))
+        return id
+    }
+
+    /** The next event of type [E]; reports of quiet sends and heard servers are left out. */
+    inline fun <reified E : GatewayEvent> await(): E = next() as E
+
+    fun next(): GatewayEvent {
+        while (true) {
+            val event = events.poll(PATIENCE_MS, TimeUnit.MILLISECONDS)
+            checkNotNull(event) { "no event within $PATIENCE_MS ms" }
+            if (event !is SendQuiet && event !is ServersHeard) return event
+        }
+    }
+
+    /** Sends a request over [socket] and returns its call. */
+    fun request(socket: Socket, id: String, body: String = ""): CallId {
+        val head = "POST /x HTTP/1.1\r\nhost: h\r\nid: $id\r\ncontent-length: ${body.length}\r\n\r\n"
+        socket.getOutputStream().write((head + body).toByteArray())
+        return await<CallArrived>().call
+    }
+
+    override fun close() = traffic.close()
+}
+
+internal fun freePort(): Int =
+    ServerSocket(0, 1, InetAddress.getByName(LOOPBACK)).use { it.localPort }
+
+/** A backend server whose answers the test writes byte by byte. */
+internal class ScriptedServer : AutoCloseable {
+    private val listener = ServerSocket().apply { bind(InetSocketAddress(LOOPBACK, 0)) }
+    val port: Int
+        get() = listener.localPort
+
+    init {
+        listener.soTimeout = PATIENCE_MS.toInt()
+    }
+
+    fun accept(): Socket = listener.accept().apply { soTimeout = PATIENCE_MS.toInt() }
+
+    override fun close() = listener.close()
+}
+
+/** Reads one request head, up to its blank line. */
+internal fun Socket.readHead(): String {
+    val text = StringBuilder()
+    while (!text.endsWith("\r\n\r\n")) {
+        val byte = getInputStream().read()
+        if (byte < 0) break
+        text.append(byte.toChar())
+    }
+    return text.toString()
+}
+
+internal fun Socket.write(text: String) {
+    getOutputStream().write(text.toByteArray())
+    getOutputStream().flush()
+}
+
+/** Closes with a reset in place of an orderly end. */
+internal fun Socket.reset() {
+    setSoLinger(true, 0)
+    close()
+}
