Refuse calls that cannot end before a shutdown does

Ruled out: the two seconds in which callers still hold the older directory answer; calls of that time are taken.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSystem.kt
@@ -28,6 +28,7 @@
         }
         val route = catalog.match(event.spec.host, event.spec.path)
             ?: return refuse(tick, event, CallRefusal.NO_ROUTE)
+        if (!isFinishable(world, tick, route)) return refuse(tick, event, CallRefusal.DRAINING)
         val service = chooseService(tick, route)
         val call = Call(event.call, event.spec, route, service, tick.nowMs)
         call.timeoutAtMs = tick.nowMs + route.timeoutMs
@@ -37,6 +38,17 @@
         placer.place(world, tick, call)
     }
 
+    /**
+     * Whether a call that arrives during a shutdown can end before the process does. Callers of the first moments have
+     * no newer directory answer yet; theirs are taken, and only the longest of them are cut off.
+     */
+    private fun isFinishable(world: GatewayWorld, tick: GatewayTick, route: Route): Boolean {
+        if (!world.process.isDraining) return true
+        val elapsedMs = tick.nowMs - world.process.drainSinceMs
+        val leftMs = world.bounds.shutdownGraceMs - STOP_RESERVE_MS - elapsedMs
+        return elapsedMs <= world.bounds.entryTtlMs || route.timeoutMs < leftMs
+    }
+
     private fun chooseService(tick: GatewayTick, route: Route) =
         route.targets.first().service.takeIf { route.targets.size == 1 } ?: run {
             var left = tick.random.nextInt(route.targets.sumOf { it.weight }.coerceAtLeast(1))
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
@@ -59,6 +59,7 @@
 enum class CallRefusal(val hasRun: RunState) {
     NO_ROUTE(RunState.NOT_RUN),
     STARTING(RunState.NOT_RUN),
+    DRAINING(RunState.NOT_RUN),
     NO_BACKEND(RunState.NOT_RUN),
     OVERLOADED(RunState.NOT_RUN),
     NO_BUDGET(RunState.NOT_RUN),
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ShutdownSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ShutdownSystem.kt
@@ -7,7 +7,7 @@
 import org.pomeloladder.decisions.LogEvent
 
 /** Kept of the grace period for closing connections and ending the process. */
-private const val STOP_RESERVE_MS = 500L
+internal const val STOP_RESERVE_MS = 500L
 
 /** Interval at which the end of the last call is looked for. */
 private const val CHECK_INTERVAL_MS = 50L
