--- /dev/null
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewayProcess.kt
@@ -0,0 +1,123 @@
+/*
+ * One gateway as a process of its own, as the platform starts it. Each VM has an address of its own on loopback, because
+ * the ports for peers are the same on all VMs.
+ */
+package org.pomeloladder.bench
+
+import java.io.File
+import java.io.IOException
+import java.net.HttpURLConnection
+import java.net.URI
+import java.util.concurrent.TimeUnit
+import org.pomeloladder.configuration.Address
+
+private const val STOP_TIMEOUT_S = 20L
+
+/** Ports that all VMs of one test share. */
+internal class GatewayPorts {
+    val callers = freeAddress().port
+    val readiness = freeAddress().port
+    val directory = freeAddress().port
+    val metrics = freeAddress().port
+    val firstPeer = freeAddress().port
+}
+
+/** The process of the VM with the address `127.0.0.[number]` in [region]. */
+internal class GatewayProcess(
+    private val number: Int,
+    private val region: String,
+    private val ports: GatewayPorts,
+    private val store: Address,
+) : AutoCloseable {
+    private val directory = File.createTempFile("gateway-", "").apply {
+        delete()
+        mkdirs()
+    }
+    private var process: Process? = null
+    private val host = "127.0.0.$number"
+    val callers = Address(host, ports.callers)
+    val log = File(directory, "front-$number.log")
+
+    val isAlive: Boolean
+        get() = process?.isAlive == true
+
+    fun start() {
+        val settings = File(directory, "settings.yaml").apply { writeText(settingsYaml()) }
+        val command = listOf(
+            File(System.getProperty("java.home"), "bin/java").path,
+            "-Xmx128m",
+            "-XX:TieredStopAtLevel=1",
+            "-cp",
+            System.getProperty("java.class.path"),
+            "org.pomeloladder.platform.MainKt",
+        )
+        val builder = ProcessBuilder(command).redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+        builder.environment()["POMELOLADDER_BOOT"] = settings.path
+        process = builder.start()
+    }
+
+    fun awaitReady() = eventually("front-$number is ready: ${log.readText()}") { isReady() }
+
+    /** Sends [name], for example STOP, CONT or TERM, to the process. */
+    fun signal(name: String) {
+        val pid = checkNotNull(process).pid().toString()
+        ProcessBuilder("kill", "-$name", pid).start().waitFor()
+    }
+
+    /** Waits for the process to end by itself. */
+    fun awaitEnd(): Boolean = process?.waitFor(STOP_TIMEOUT_S, TimeUnit.SECONDS) ?: true
+
+    fun kill() {
+        process?.destroyForcibly()?.waitFor()
+    }
+
+    /** What the directory of this VM names for a caller of [callerRegion]. */
+    fun lookUp(callerRegion: String): String =
+        get(ports.directory, "/pomeloladder/lookup?Name=shop.example&Region=$callerRegion").second
+
+    fun isReady(): Boolean = get(ports.readiness, "/pomeloladder/readyz").first == OK
+
+    override fun close() {
+        kill()
+        directory.deleteRecursively()
+    }
+
+    private fun get(port: Int, path: String): Pair<Int, String> = try {
+        val uri = URI("http://$host:$port$path")
+        val connection = uri.toURL().openConnection() as HttpURLConnection
+        val status = connection.responseCode
+        val stream = if (status == OK) connection.inputStream else connection.errorStream
+        status to stream?.bufferedReader()?.readText().orEmpty()
+    } catch (_: IOException) {
+        0 to ""
+    }
+
+    private fun settingsYaml() = """
+        vm: front-$number
+        region: $region
+        failureDomain: $region-a
+        regionsOfDomains: {"north-a": "north", "south-a": "south"}
+        host: $host
+        callers: "$callers"
+        readiness: "$host:${ports.readiness}"
+        directory: "$host:${ports.directory}"
+        metricsPort: ${ports.metrics}
+        peerPorts: {first: ${ports.firstPeer}, last: ${ports.firstPeer + 3}}
+        seeds: ["127.0.0.2:1", "127.0.0.3:1"]
+        platform: "$store"
+        bounds:
+          retryRatio: 0.2
+          retryWindowS: 10
+          retrySlack: 56
+          coldOverage: 1.5
+          coldSlack: 3
+          drainMs: 4000
+          shutdownGraceS: 8
+          entryTtlMaxS: 5
+    """.trimIndent()
+
+    private companion object {
+        const val OK = 200
+    }
+}
--- a/cli/src/main/kotlin/org/pomeloladder/cli/LocalCommands.kt
+++ b/cli/src/main/kotlin/org/pomeloladder/cli/LocalCommands.kt
@@ -17,6 +17,8 @@
 import org.pomeloladder.daemon.SettingsProblem
 import org.pomeloladder.daemon.SettingsResult
 import org.pomeloladder.daemon.readSettings
+import org.pomeloladder.entry.GatewaySettingsResult
+import org.pomeloladder.entry.readGatewaySettings
 
 /** Groups the settings commands. */
 class SettingsCommand : CliktCommand(name = "settings") {
@@ -30,6 +32,10 @@
     private val settings by argument("FILE", help = "A settings file in YAML.")
         .file(mustExist = true, canBeDir = false, mustBeReadable = true)
     private val isJson by option("--json", help = "Write JSON for programs.").flag()
+    private val isGateway by option(
+        "--gateway",
+        help = "Check settings of the route gateway.",
+    ).flag()
 
     override fun help(context: Context) =
         "Checks a settings file as the daemon does when it starts, and lists all problems at once."
@@ -38,6 +44,7 @@
         examples("pomeloladder settings check settings.yaml")
 
     override fun run() {
+        if (isGateway) return checkGateway()
         val problems = when (val result = readSettings(settings.readText())) {
             is SettingsResult.Valid -> emptyList()
             is SettingsResult.Invalid -> result.problems
@@ -50,6 +57,16 @@
         if (problems.isNotEmpty()) throw ProgramResult(ExitCode.INVALID)
     }
 
+    private fun checkGateway() {
+        when (val result = readGatewaySettings(settings.readText())) {
+            is GatewaySettingsResult.Valid -> echo("$settings is valid")
+            is GatewaySettingsResult.Invalid -> {
+                result.problems.forEach { echo("$settings: $it", err = true) }
+                throw ProgramResult(ExitCode.INVALID)
+            }
+        }
+    }
+
     private fun json(problems: List<SettingsProblem>): JsonElement {
         val rows = problems.map {
             JsonObject(
--- a/cli/src/main/kotlin/org/pomeloladder/cli/Main.kt
+++ b/cli/src/main/kotlin/org/pomeloladder/cli/Main.kt
@@ -68,6 +68,7 @@
         Drain(client),
         SettingsCommand().subcommands(SettingsCheck()),
         Explain(client),
+        Trace(),
         Version(),
     )
 
--- a/cli/src/test/kotlin/org/pomeloladder/cli/PomeloladderTest.kt
+++ b/cli/src/test/kotlin/org/pomeloladder/cli/PomeloladderTest.kt
@@ -55,6 +55,32 @@
             .isEqualTo(ExitCode.INVALID)
     }
 
+    @Test
+    fun `trace joins the lines of one request from several VMs in the order of time`() {
+        fun line(time: String, event: String, request: String) =
+            """{"time":"$time","message":{"event":"$event","text":"t","request":"$request"}}"""
+        val first = logFile(line("10:00:02", "412", "r1"), line("10:00:01", "410", "r2"), "no JSON")
+        val second = logFile(line("10:00:01", "410", "r1"))
+
+        val result = pomeloladder().test("trace r1 ${first.path} ${second.path}")
+
+        expectThat(result.output.lines().filter { it.isNotBlank() }.map { it.take(8) })
+            .isEqualTo(listOf("10:00:01", "10:00:02"))
+    }
+
+    @Test
+    fun `settings of the route gateway are checked as the process does`() {
+        val file = logFile("vm: x")
+        val result = pomeloladder().test("settings check --gateway ${file.path}")
+
+        expectThat(result.statusCode).isEqualTo(ExitCode.INVALID)
+    }
+
+    private fun logFile(vararg lines: String): File = File.createTempFile("front", ".log").apply {
+        deleteOnExit()
+        writeText(lines.joinToString("\n"))
+    }
+
     @Test
     fun `explain reads a step without target, which the daemon leaves out`() {
         val step = TraceStepStatus(3, "refused", null, "queue-full")
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/AdministrationApi.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/AdministrationApi.kt
@@ -23,6 +23,7 @@
 import org.pomeloladder.decisions.DrainAsked
 import org.pomeloladder.decisions.RequestId
 import org.pomeloladder.decisions.World
+import org.pomeloladder.runtime.Metrics
 
 /** Largest patch that can be checked; the platform takes no larger value. */
 private const val MAX_PATCH_BYTES = 1024 * 1024
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/AdministrationReads.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/AdministrationReads.kt
@@ -14,6 +14,7 @@
 import org.pomeloladder.decisions.Liveness
 import org.pomeloladder.decisions.RequestId
 import org.pomeloladder.decisions.World
+import org.pomeloladder.runtime.StateGauges
 
 private const val SHOWN_VERDICTS = 20
 
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/EventSink.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/EventSink.kt
@@ -13,8 +13,8 @@
 
 /** The counts of [meter] for the metrics. */
 internal fun peerBytes(meter: PeerTrafficMeter): List<PeerBytes> = listOf(
-    PeerBytes("control", "sent") { meter.controlSentBytes },
-    PeerBytes("control", "received") { meter.controlReceivedBytes },
-    PeerBytes("traffic", "sent") { meter.trafficSentBytes },
-    PeerBytes("traffic", "received") { meter.trafficReceivedBytes },
+    PeerBytes("control", "sent") { meter.controlSentBytes.get() },
+    PeerBytes("control", "received") { meter.controlReceivedBytes.get() },
+    PeerBytes("traffic", "sent") { meter.trafficSentBytes.get() },
+    PeerBytes("traffic", "received") { meter.trafficReceivedBytes.get() },
 )
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/EntryViewTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/EntryViewTest.kt
@@ -16,10 +16,13 @@
         entries = entries.toList(),
         published = PublishedView(
             1,
-            catalog(route("free"), route("homed") {
-                host = "homed"
-                homes = setOf(NORTH)
-            }),
+            catalog(
+                route("free"),
+                route("homed") {
+                    host = "homed"
+                    homes = setOf(NORTH)
+                },
+            ),
             emptyList(),
             emptySet(),
         ),
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
@@ -45,7 +45,10 @@
         val places = (1..4).map { seed ->
             val other = TestGateway(seed)
             other.publish(1, catalog(brief), engine("m1"), engine("m2"), engine("m3"))
-            other.call(brief, prompt(thing = 7, own = seed.toLong())).second.only<StartSend>().server
+            other.call(
+                brief,
+                prompt(thing = 7, own = seed.toLong()),
+            ).second.only<StartSend>().server
         }
 
         expectThat(places.toSet().size).isEqualTo(1)
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestGateway.kt
@@ -147,13 +147,12 @@
     }
 
     /** A peer is heard, with an echo that proves the way back. */
-    fun hear(identity: PeerIdentity, change: (GossipMessage) -> GossipMessage = { it }) =
-        tick(
-            GossipReceived(
-                identity.gossip,
-                change(GossipMessage(identity, sentMs = nowMs, echoMs = nowMs, isReady = true)),
-            ),
-        )
+    fun hear(identity: PeerIdentity, change: (GossipMessage) -> GossipMessage = { it }) = tick(
+        GossipReceived(
+            identity.gossip,
+            change(GossipMessage(identity, sentMs = nowMs, echoMs = nowMs, isReady = true)),
+        ),
+    )
 }
 
 internal inline fun <reified C : GatewayCommand> List<GatewayCommand>.only(): C =
--- /dev/null
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/StoreStandIn.kt
@@ -0,0 +1,116 @@
+/*
+ * Stand-in of the users' platform store: items with revisions, pages, watches, and a history that can be dropped. Tests
+ * write; processes under test only read.
+ */
+package org.pomeloladder.standins
+
+import java.util.Base64
+import java.util.TreeMap
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import org.http4k.core.HttpHandler
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.pomeloladder.configuration.Address
+
+/** Small, so that tests see several pages. */
+private const val PAGE_ITEMS = 3
+private const val MOST_WAIT_MS = 30_000L
+
+/** A store that listens on loopback. */
+class StoreStandIn : StandIn {
+    private class Item(val key: String, val value: String?, val revision: Long)
+
+    private val lock = ReentrantLock()
+    private val changed = lock.newCondition()
+    private val items = TreeMap<String, Item>()
+    private val history = ArrayList<Item>()
+    private var revision = 1L
+    private var historyStart = 1L
+    private val listener = LoopbackListener(0, handler())
+
+    /** While set, every call is refused. */
+    @Volatile
+    var isRefusing = false
+
+    override val address: Address
+        get() = listener.address
+
+    override fun start() = listener.start()
+
+    override fun close() = listener.close()
+
+    fun put(key: String, value: String) = write(key, value)
+
+    fun remove(key: String) = write(key, null)
+
+    /** Forgets all changes so far; watches that go on from them are told so. */
+    fun dropHistory() = lock.withLock {
+        history.clear()
+        historyStart = revision
+        changed.signalAll()
+    }
+
+    private fun write(key: String, value: String?) = lock.withLock {
+        val item = Item(key, value, ++revision)
+        if (value == null) items.remove(key) else items[key] = item
+        history += item
+        changed.signalAll()
+    }
+
+    private fun handler(): HttpHandler = { request ->
+        when {
+            isRefusing -> Response(Status.SERVICE_UNAVAILABLE)
+            request.uri.path == "/pomeloladder/kv-range" -> range(request)
+            request.uri.path == "/pomeloladder/kv-watch" -> watch(request)
+            else -> Response(Status.NOT_FOUND)
+        }
+    }
+
+    private fun range(request: Request): Response = lock.withLock {
+        val prefix = request.query("Prefix").orEmpty()
+        val after = request.query("after").orEmpty()
+        val found = items.values.filter { it.key.startsWith(prefix) && it.key > after }
+        val body = JsonObject(
+            mapOf(
+                "items" to JsonArray(found.take(PAGE_ITEMS).map(::json)),
+                "MorePages" to JsonPrimitive(found.size > PAGE_ITEMS),
+                "CurrentRev" to JsonPrimitive(revision),
+            ),
+        )
+        json(body.toString())
+    }
+
+    private fun watch(request: Request): Response = lock.withLock {
+        val prefix = request.query("Prefix").orEmpty()
+        val after = request.query("after")?.toLongOrNull() ?: 0
+        val waitMs = request.query("WaitMs")?.toLongOrNull() ?: 0
+        var leftNanos = TimeUnit.MILLISECONDS.toNanos(waitMs.coerceAtMost(MOST_WAIT_MS))
+        while (after >= historyStart && leftNanos > 0 && changesAfter(after, prefix).isEmpty()) {
+            leftNanos = changed.awaitNanos(leftNanos)
+        }
+        if (after < historyStart) return Response(Status.GONE)
+        val body = JsonObject(
+            mapOf(
+                "events" to JsonArray(changesAfter(after, prefix).map(::json)),
+                "CurrentRev" to JsonPrimitive(revision),
+            ),
+        )
+        json(body.toString())
+    }
+
+    private fun changesAfter(after: Long, prefix: String) =
+        history.filter { it.revision > after && it.key.startsWith(prefix) }
+
+    private fun json(item: Item): JsonObject {
+        val base = mapOf("Key" to JsonPrimitive(item.key), "Rev" to JsonPrimitive(item.revision))
+        val value = item.value ?: return JsonObject(base + ("Removed" to JsonPrimitive(true)))
+        val encoded = Base64.getEncoder().encodeToString(value.toByteArray())
+        return JsonObject(base + ("Value" to JsonPrimitive(encoded)))
+    }
+}
