--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSystem.kt
@@ -12,15 +12,47 @@
 
 /** Handles arrivals, departures and time limits. */
 class CallSystem(private val placer: CallPlacer) : GatewaySystem {
+    private class Early(val event: CallArrived, val arrivedMs: Long)
+
+    /** Calls that came before the first view. */
+    private val early = ArrayDeque<Early>()
+
     override fun run(world: GatewayWorld, tick: GatewayTick) {
-        tick.each<CallerLeft> { leave(world, tick, it.call) }
+        tick.each<CallerLeft> { left ->
+            early.removeIf { it.event.call == left.call }
+            leave(world, tick, left.call)
+        }
         expire(world, tick)
-        tick.each<CallArrived> { arrive(world, tick, it) }
-        if (world.calls.size > 0) tick.wakeAt(tick.nowMs + SCAN_INTERVAL_MS)
+        admitEarly(world, tick)
+        tick.each<CallArrived> { arrive(world, tick, it, tick.nowMs) }
+        if (world.calls.size > 0 || early.isNotEmpty()) tick.wakeAt(tick.nowMs + SCAN_INTERVAL_MS)
+    }
+
+    /** A start takes a moment; a call that comes in it is kept for no longer than a retry would take. */
+    private fun admitEarly(world: GatewayWorld, tick: GatewayTick) {
+        while (early.isNotEmpty()) {
+            val first = early.first()
+            when {
+                world.catalog != null -> arrive(world, tick, first.event, first.arrivedMs)
+                tick.nowMs - first.arrivedMs >= EARLY_MS ->
+                    refuse(tick, first.event, CallRefusal.STARTING)
+                else -> return
+            }
+            early.removeFirst()
+        }
     }
 
-    private fun arrive(world: GatewayWorld, tick: GatewayTick, event: CallArrived) {
-        val catalog = world.catalog ?: return refuse(tick, event, CallRefusal.STARTING)
+    private fun arrive(
+        world: GatewayWorld,
+        tick: GatewayTick,
+        event: CallArrived,
+        arrivedMs: Long,
+    ) {
+        val catalog = world.catalog
+        if (catalog == null) {
+            early.addLast(Early(event, arrivedMs))
+            return
+        }
         val origin = event.spec.origin
         if (origin is CallOrigin.Peer && origin.catalogVersion > catalog.version) {
             // The peer decided by rules that are not known here; it places the call elsewhere.
@@ -30,9 +62,9 @@
             ?: return refuse(tick, event, CallRefusal.NO_ROUTE)
         if (!isFinishable(world, tick, route)) return refuse(tick, event, CallRefusal.DRAINING)
         val service = chooseService(tick, route)
-        val call = Call(event.call, event.spec, route, service, tick.nowMs)
-        call.timeoutAtMs = tick.nowMs + route.timeoutMs
-        event.spec.budgetMs?.let { call.deadlineAtMs = tick.nowMs + it }
+        val call = Call(event.call, event.spec, route, service, arrivedMs)
+        call.timeoutAtMs = arrivedMs + route.timeoutMs
+        event.spec.budgetMs?.let { call.deadlineAtMs = arrivedMs + it }
         world.calls[call.id] = call
         if (origin is CallOrigin.Caller) world.service(call.service).budget.call(tick.nowMs)
         placer.place(world, tick, call)
@@ -94,6 +126,9 @@
     private companion object {
         /** Another VM is usually ready; this one is within a second or two. */
         const val STARTING_RETRY_AFTER_MS = 200L
+
+        /** The first view is read within a tenth of a second of a start unless the store is in trouble. */
+        const val EARLY_MS = 300L
     }
 }
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
@@ -12,6 +12,10 @@
 private const val NEAR_INTERVAL_MS = 250L
 private const val FAR_INTERVAL_MS = 500L
 
+/** VMs that start together find each other within a few of these. */
+private const val GREETING_INTERVAL_MS = 120L
+private const val STARTING_MS = 5_000L
+
 /** Four lost datagrams in a row from another region, eight from the own one. */
 private const val SILENT_MS = 2_000L
 
@@ -33,17 +37,21 @@
 /** Most other VMs named in one datagram. */
 private const val MOST_OTHERS = 8
 
+/** What other VMs must learn at once: their directories and relays depend on it. */
+private data class PeerState(val isReady: Boolean = false, val isDraining: Boolean = false)
+
 /** Exchanges datagrams and keeps the table of peers. */
 class PeerSystem(private val placement: PlacementPolicy) : GatewaySystem {
     private val contacts = HashMap<Address, Long>()
-    private var wasDraining = false
+    private var startedMs: Long? = null
+    private var told = PeerState()
 
     override fun run(world: GatewayWorld, tick: GatewayTick) {
         tick.each<GossipReceived> { receive(world, tick, it.message) }
         judge(world, tick)
-        val isUrgent = world.process.isDraining && !wasDraining
-        wasDraining = world.process.isDraining
-        send(world, tick, isUrgent)
+        val state = PeerState(isReady(world), world.process.isDraining)
+        send(world, tick, isUrgent = state != told)
+        told = state
         sumShares(world)
         tick.wakeAt(tick.nowMs + NEAR_INTERVAL_MS / 2)
     }
@@ -137,8 +145,11 @@
         val known = world.peers.map { it.identity.gossip }.toSet() + world.self.gossip
         for (seed in world.seeds) contacts.getOrPut(seed) { Long.MIN_VALUE / 2 }
         contacts.keys.removeIf { it in known && it !in world.seeds }
+        val sinceMs = startedMs ?: tick.nowMs.also { startedMs = it }
+        val isStarting = tick.nowMs - sinceMs < STARTING_MS
+        val intervalMs = if (isStarting) GREETING_INTERVAL_MS else FAR_INTERVAL_MS
         for ((address, sentMs) in contacts) {
-            if (address in known || tick.nowMs - sentMs < FAR_INTERVAL_MS) continue
+            if (address in known || tick.nowMs - sentMs < intervalMs) continue
             contacts[address] = tick.nowMs
             tick.give(SendGossip(address, message))
         }
@@ -151,7 +162,7 @@
             from = world.self,
             sentMs = tick.nowMs + 1,
             isDraining = world.process.isDraining,
-            isReady = view != null && !world.process.isDraining,
+            isReady = isReady(world),
             revision = view?.revision ?: 0,
             shares = if (isNear) shares(world) else emptyList(),
             services = if (isNear) emptyList() else services(world, tick),
@@ -160,6 +171,9 @@
         )
     }
 
+    private fun isReady(world: GatewayWorld) =
+        world.process.view != null && !world.process.isDraining
+
     private fun shares(world: GatewayWorld): List<ServerShare> =
         world.backends.filter { it.inFlight > 0 }
             .map { ServerShare(it.id, it.inFlight, it.pendingPromptTokens) }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/PeerSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/PeerSystemTest.kt
@@ -56,6 +56,14 @@
         expectThat(first).isEqualTo(listOf("b", "b", "b"))
     }
 
+    @Test
+    fun `readiness is told at once, so that relays work soon after all processes started together`() {
+        gateway.hear(near)
+        val commands = gateway.publish(1, catalog(route("lookup")))
+
+        expectThat(commands.all<SendGossip>().any { it.message.isReady }).isTrue()
+    }
+
     @Test
     fun `a shutdown is told at once, so that the directory stops naming this process`() {
         gateway.hear(near)
