--- a/bench/src/test/kotlin/org/pomeloladder/bench/GatewayFailureTest.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewayFailureTest.kt
@@ -91,7 +91,7 @@
     private fun runsOf(id: String) = servers.sumOf { it.runs[id]?.get() ?: 0 }
 
     @Test
-    fun `payments run at most once and refusals are true while a process is killed and another paused`() {
+    fun `payments run at most once and refusals are true through a kill and a pause`() {
         val statuses = ConcurrentHashMap<String, Int>()
         val pool = Executors.newFixedThreadPool(CALLERS)
         repeat(CALLS) { index ->
@@ -123,7 +123,7 @@
     }
 
     @Test
-    fun `a drained server gets nothing new, and the last state serves on while the store refuses`() {
+    fun `a drained server gets nothing, and the last state serves on without the store`() {
         store.put("servers/i-0", servers[0].entry("shop", "north-a", state = "draining"))
         eventually("the drain is in force") {
             val (id, _) = call(gateways[0], "/look/x")
--- a/gateway/src/main/kotlin/org/pomeloladder/entry/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/entry/GatewaySettings.kt
@@ -89,7 +89,7 @@
     val region = settings.regionsOfDomains[settings.failureDomain]
     if (region != settings.region) {
         add(
-            "regionsOfDomains.${settings.failureDomain}: expected \"${settings.region}\", found $region",
+            "regionsOfDomains.${settings.failureDomain}: expected ${settings.region}, found $region",
         )
     }
     val ports = settings.peerPorts
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/CallSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/CallSystemTest.kt
@@ -18,7 +18,7 @@
     private fun ready(vararg servers: BackendRecord) = gateway.publish(1, catalog, *servers)
 
     @Test
-    fun `a process without a catalog says not run, so that a caller does not take a start for a missing route`() {
+    fun `a call at a process without a catalog is told not run, not that it has no route`() {
         val (_, commands) = gateway.call(lookup)
         val later = gateway.tick(afterMs = 300)
 
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/PeerSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/PeerSystemTest.kt
@@ -47,7 +47,7 @@
     }
 
     @Test
-    fun `load of the region's other processes counts at a server, so that none of them floods it`() {
+    fun `load of other processes counts at a server, so that none floods it`() {
         gateway.publish(1, catalog(route("lookup")), server("a"), server("b"))
         val share = ServerShare(BackendServerId("a"), inFlight = 5, pendingPromptTokens = 0)
         gateway.hear(near) { it.copy(shares = listOf(share)) }
@@ -57,7 +57,7 @@
     }
 
     @Test
-    fun `readiness is told at once, so that relays work soon after all processes started together`() {
+    fun `readiness is told at once, so that relays work soon after a common start`() {
         gateway.hear(near)
         val commands = gateway.publish(1, catalog(route("lookup")))
 
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/PrefixCacheTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/PrefixCacheTest.kt
@@ -18,7 +18,7 @@
     }
 
     @Test
-    fun `the least recently used parts yield, so that the model does not promise what the engine lost`() {
+    fun `the least recently used parts yield, as they do at the engine`() {
         (1L..20L).forEach { cache.add(PromptPart(PartId(it), 100), 1_000) }
 
         expectThat(cache.cachedTokens(listOf(PromptPart(PartId(1), 100)))).isEqualTo(0)
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
@@ -33,7 +33,7 @@
     }
 
     @Test
-    fun `prompts that share parts go to one engine while it has room, so that the parts are read once`() {
+    fun `prompts that share parts go to one engine, so that the parts are read once`() {
         gateway.publish(1, catalog(brief), engine("m1"), engine("m2"), engine("m3"))
         val places = (1L..20L).map { place(thing = 7, own = 100 + it) }
 
@@ -55,7 +55,7 @@
     }
 
     @Test
-    fun `a crowded region hands calls to an idle one, so that its batches do not slow to a crawl`() {
+    fun `a crowded region hands calls to an idle one, so that its batches stay quick`() {
         gateway.publish(1, catalog(brief), engine("m1"))
         val idle = ServiceLoad(MODEL, places = 64, inUse = 0, waitMs = 20)
         gateway.hear(identity("p", SOUTH)) { it.copy(services = listOf(idle)) }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
@@ -44,7 +44,7 @@
         SendEnded(send.send, SendOutcome.Broken(BreakReason.CONNECTION_LOST), null)
 
     @Test
-    fun `a call that may not be repeated ends as unknown after a broken answer, so that it runs at most once`() {
+    fun `an unsafe call ends as unknown after a broken answer, so that it runs at most once`() {
         val (_, commands) = gateway.call(payment)
         val after = gateway.tick(broken(commands.only()))
 
@@ -53,7 +53,7 @@
     }
 
     @Test
-    fun `a call that was proved not run goes to another server, so that a full one costs no answer`() {
+    fun `a call proved not run goes to another server, so that a full one costs no answer`() {
         val (_, commands) = gateway.call(payment)
         val first = commands.only<StartSend>()
         val after = gateway.tick(SendEnded(first.send, SendOutcome.NotRun(NotRunReason.FULL), null))
@@ -62,7 +62,7 @@
     }
 
     @Test
-    fun `a call that may be repeated is sent again after a server error, and no more often than its route allows`() {
+    fun `a safe call is sent again after a server error, within its route's attempts`() {
         val (_, commands) = gateway.call(lookup)
         val first = commands.only<StartSend>()
         val second = gateway.tick(SendEnded(first.send, SendOutcome.Answered(500), null))
@@ -75,7 +75,7 @@
     }
 
     @Test
-    fun `a relayed call runs once at the peer, so that attempts over two regions stay within the route's`() {
+    fun `a relayed call runs once at the peer, so that regions do not add up attempts`() {
         val origin = CallOrigin.Peer(identity("p", SOUTH).vm, 1, isRepeat = false)
         val (_, commands) = gateway.call(lookup, origin = origin)
         val first = commands.only<StartSend>()
@@ -96,7 +96,7 @@
     }
 
     @Test
-    fun `a broken stream that may not be resumed is broken off, so that two runs are never joined`() {
+    fun `a stream that may not be resumed is broken off, so that no two runs are joined`() {
         val (_, commands) = gateway.call(chat)
         val first = commands.only<StartSend>()
         gateway.tick(SendStarted(first.send, null))
@@ -117,7 +117,7 @@
     }
 
     @Test
-    fun `a server that answers for another instance gets nothing more, so that a reused address runs no foreign work`() {
+    fun `a server of another instance gets nothing more, so that it runs no foreign work`() {
         val (_, commands) = gateway.call(lookup)
         val first = commands.only<StartSend>()
         val notRun = SendOutcome.NotRun(NotRunReason.WRONG_INSTANCE)
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ShutdownSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ShutdownSystemTest.kt
@@ -20,7 +20,7 @@
     }
 
     @Test
-    fun `a long call that comes late in a shutdown is refused unrun, so that it is not cut off at its end`() {
+    fun `a long call late in a shutdown is refused unrun, so that it is not cut off`() {
         gateway.tick(ShutdownAsked)
         val (_, early) = gateway.call(chat)
         gateway.nowMs += 3_000
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ViewSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ViewSystemTest.kt
@@ -61,7 +61,7 @@
     }
 
     @Test
-    fun `a domain that comes back is asked for its health first, so that cold servers are not flooded`() {
+    fun `a returned domain is asked for its health first, so that cold servers survive`() {
         val north = FailureDomainId("north-a")
         gateway.publish(1, catalog(lookup), server("a"), evacuated = setOf(north))
         gateway.publish(2, catalog(lookup), server("a"))
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/TestTraffic.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/TestTraffic.kt
@@ -108,7 +108,8 @@
 
     /** Sends a request over [socket] and returns its call. */
     fun request(socket: Socket, id: String, body: String = ""): CallId {
-        val head = "POST /x HTTP/1.1\r\nhost: h\r\nid: $id\r\ncontent-length: ${body.length}\r\n\r\n"
+        val head = "POST /x HTTP/1.1\r\nhost: h\r\nid: $id\r\n" +
+            "content-length: ${body.length}\r\n\r\n"
         socket.getOutputStream().write((head + body).toByteArray())
         return await<CallArrived>().call
     }
