Take changed settings into force on SIGHUP

Cause: SIGHUP was ignored, so changed bounds stayed unknown to a running process. Bounds and seeds are replaced; settings that are not valid change nothing and are logged.

--- a/gateway/src/main/kotlin/org/pomeloladder/entry/Gateway.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/entry/Gateway.kt
@@ -23,6 +23,8 @@
 import org.pomeloladder.gateway.GatewayEvent
 import org.pomeloladder.gateway.GatewayWorld
 import org.pomeloladder.gateway.PeerIdentity
+import org.pomeloladder.gateway.ReloadedSettings
+import org.pomeloladder.gateway.SettingsRead
 import org.pomeloladder.gateway.ShutdownAsked
 import org.pomeloladder.gateway.gatewaySystems
 import org.pomeloladder.runtime.BoundedJournal
@@ -78,8 +80,8 @@
         self = self,
         regions = settings.regionsOfDomains.entries
             .associate { FailureDomainId(it.key) to RegionId(it.value) },
-        seeds = settings.seeds.map { peerAddress(address(it).host, 0) } - gossipAddress,
-        bounds = bounds(),
+        seeds = seedsOf(settings),
+        bounds = boundsOf(settings),
     )
     private val traffic: GatewayTraffic = GatewayTraffic(
         addresses = TrafficAddresses(
@@ -123,6 +125,18 @@
     /** Asks for a graceful shutdown; [awaitStop] returns when it is finished. */
     fun shutDown() = control.post(ShutdownAsked)
 
+    /** Takes what a running process can take from the changed file [text]. */
+    fun reload(text: String) {
+        val event = when (val result = readGatewaySettings(text)) {
+            is GatewaySettingsResult.Valid -> {
+                val read = result.settings
+                SettingsRead(ReloadedSettings(boundsOf(read), seedsOf(read)), null)
+            }
+            is GatewaySettingsResult.Invalid -> SettingsRead(null, result.problems.joinToString())
+        }
+        control.post(event)
+    }
+
     /** Waits until no call is left or the grace period is over, and closes everything. */
     fun awaitStop() {
         stopped.await()
@@ -135,7 +149,10 @@
     private fun metricsAnswer(@Suppress("UnusedParameter") request: Request): Response =
         Response(Status.OK).body(metrics.expose())
 
-    private fun bounds(): GatewayBounds {
+    private fun seedsOf(settings: GatewaySettings) =
+        settings.seeds.map { peerAddress(address(it).host, 0) } - gossipAddress
+
+    private fun boundsOf(settings: GatewaySettings): GatewayBounds {
         val bounds = settings.bounds
         return GatewayBounds(
             retryRatio = bounds.retryRatio,
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
@@ -84,5 +84,11 @@
 /** Backend servers from which bytes arrived since the last report. */
 data class ServersHeard(val servers: Set<BackendServerId>) : GatewayEvent
 
+/** The settings file was read again; null when it was not valid and the former settings stay. */
+data class SettingsRead(val settings: ReloadedSettings?, val problem: String?) : GatewayEvent
+
+/** What a running process takes from changed settings. */
+data class ReloadedSettings(val bounds: GatewayBounds, val seeds: List<Address>)
+
 /** The process was asked to shut down gracefully. */
 data object ShutdownAsked : GatewayEvent
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
@@ -7,6 +7,7 @@
 fun gatewaySystems(placement: PlacementPolicy = RealPlacementPolicy()): List<GatewaySystem> {
     val placer = CallPlacer(placement)
     return listOf(
+        SettingsSystem(),
         ViewSystem(),
         ServerSystem(),
         PeerSystem(placement),
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
@@ -35,8 +35,8 @@
 class GatewayWorld(
     val self: PeerIdentity,
     val regions: Map<FailureDomainId, RegionId>,
-    val seeds: List<Address>,
-    val bounds: GatewayBounds,
+    var seeds: List<Address>,
+    var bounds: GatewayBounds,
 ) {
     val backends = Table<BackendServerId, Backend>()
     val peers = Table<VmId, Peer>()
