--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ShutdownSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ShutdownSystemTest.kt
@@ -34,7 +34,7 @@
 
     @Test
     fun `the process stops when its last call is over and callers have moved`() {
-        val (_, commands) = gateway.call(chat)
+        val (_, commands) = gateway.call(chat, budgetMs = 12_000)
         gateway.tick(ShutdownAsked)
         val during = gateway.tick(afterMs = 4_000)
         gateway.tick(SendStarted(commands.only<StartSend>().send, null))
@@ -48,7 +48,7 @@
 
     @Test
     fun `the process stops within the grace period although a call lasts longer`() {
-        gateway.call(chat)
+        gateway.call(chat, budgetMs = 12_000)
         gateway.tick(ShutdownAsked)
 
         expectThat(gateway.tick(afterMs = 7_600).all<StopGateway>()).hasSize(1)
