Spare cold servers until a process knows how many share their bound

Cause: a process that has just started knows no peer and took the whole bound on a cold server; after a common start all processes of a region would together exceed it. Found by reading, not by a run. For its first second a process sends nothing to cold servers. The unit test fails without the rule.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
@@ -69,4 +69,7 @@
     var isStopped = false
     var nextSend = 0L
     var published: EntryView? = null
+
+    /** Time of the first tick. */
+    var startedMs: Long? = null
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
@@ -43,10 +43,10 @@
 /** Exchanges datagrams and keeps the table of peers. */
 class PeerSystem(private val placement: PlacementPolicy) : GatewaySystem {
     private val contacts = HashMap<Address, Long>()
-    private var startedMs: Long? = null
     private var told = PeerState()
 
     override fun run(world: GatewayWorld, tick: GatewayTick) {
+        if (world.process.startedMs == null) world.process.startedMs = tick.nowMs
         tick.each<GossipReceived> { receive(world, tick, it.message) }
         judge(world, tick)
         val state = PeerState(isReady(world), world.process.isDraining)
@@ -145,8 +145,7 @@
         val known = world.peers.map { it.identity.gossip }.toSet() + world.self.gossip
         for (seed in world.seeds) contacts.getOrPut(seed) { Long.MIN_VALUE / 2 }
         contacts.keys.removeIf { it in known && it !in world.seeds }
-        val sinceMs = startedMs ?: tick.nowMs.also { startedMs = it }
-        val isStarting = tick.nowMs - sinceMs < STARTING_MS
+        val isStarting = tick.nowMs - (world.process.startedMs ?: tick.nowMs) < STARTING_MS
         val intervalMs = if (isStarting) GREETING_INTERVAL_MS else FAR_INTERVAL_MS
         for ((address, sentMs) in contacts) {
             if (address in known || tick.nowMs - sentMs < intervalMs) continue
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
@@ -12,6 +12,9 @@
 /** The window of the bound on cold servers, somewhat over a second because sends arrive with different delays. */
 private const val COLD_WINDOW_MS = 1_150L
 
+/** A process that has just started does not know yet with how many others it shares a bound. */
+private const val ACQUAINTANCE_MS = 1_000L
+
 /** Whether calls may go to [backend] at [nowMs]: announced, not leaving, not evacuated, reachable, in this region. */
 internal fun isUsable(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean {
     val record = backend.record
@@ -28,17 +31,19 @@
     if (nowMs >= backend.coldUntilMs) return true
     val sends = backend.coldSends
     while (sends.isNotEmpty() && sends.first() <= nowMs - COLD_WINDOW_MS) sends.removeFirst()
-    return sends.size < coldShare(world, backend)
+    return sends.size < coldShare(world, backend, nowMs)
 }
 
 /**
  * Calls that this process may send to a cold server within the window. All VMs of the region share the bound; where it
  * is smaller than their number, the first in rendezvous order get one each.
  */
-private fun coldShare(world: GatewayWorld, backend: Backend): Int {
+private fun coldShare(world: GatewayWorld, backend: Backend, nowMs: Long): Int {
     val rate = world.catalog?.service(backend.record.service)?.coldRequestsPerS ?: return 0
     val bound = (rate * world.bounds.coldOverage + world.bounds.coldSlack - COLD_RESERVE).toInt()
     val region = world.self.region
+    val ageMs = nowMs - (world.process.startedMs ?: nowMs)
+    if (ageMs < ACQUAINTANCE_MS) return 0
     val vms = world.peers.filter { it.identity.region == region }.map { it.vm } + world.self.vm
     if (vms.size <= bound) return bound / vms.size
     val key = backend.id.value.hashCode().toLong()
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/CallSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/CallSystemTest.kt
@@ -133,6 +133,8 @@
             service = MODEL
         }
         gateway.publish(1, catalog(model), server("m", MODEL) { it.copy(coldForMs = 10_000) })
+        val (_, atStart) = gateway.call(model)
+        gateway.tick(afterMs = 1_000)
         val sent = (1..100).count {
             gateway.nowMs += 9
             gateway.call(model).second.all<StartSend>().isNotEmpty()
@@ -140,5 +142,7 @@
 
         // The bound of all processes together: 2 a second by 1.5, and 3.
         expectThat(sent).isLessThan(7)
+        // How many others share the bound is not known at a start.
+        expectThat(atStart.all<StartSend>()).isEmpty()
     }
 }
