--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -132,6 +132,7 @@
         send.pendingTokens = uncached.toLong()
         send.workTokens = uncached + backend.pendingPromptTokens + backend.peerPendingTokens
         backend.pendingPromptTokens += uncached
+        backend.recentPromptTokens += uncached
         val capacity = service?.engine?.kvCapacityTokens ?: return
         for (part in prompt.sharedParts) {
             backend.cache.add(part, capacity)
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -45,6 +45,9 @@
     var isHealthWanted = false
     val cache = PrefixCache()
 
+    /** Prompt tokens that this process sent lately, decaying; the sum over the region is estimated from it. */
+    var recentPromptTokens = 0.0
+
     val load: Int
         get() = inFlight + peerInFlight
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -86,6 +86,7 @@
             val wait = expectedMs(backend, state, tokens, call.spec.prompt != null)
             var cost = wait + random.nextDouble() * TIE_SPREAD_MS
             cost += backend.failureShare * failureCostMs(call)
+            call.spec.prompt?.let { cost += interferenceMs(world, backend, it, tokens, state) }
             if (backend.missingSinceMs != null) cost += MISSING_COST_MS
             if (nowMs < backend.coldUntilMs) cost += COLD_COST_MS
             cost -= cachedShare(shared, backend, preferred) * state.msPerPromptToken * CACHE_WEIGHT
@@ -98,6 +99,26 @@
         return Choice.Here(checkNotNull(best), bestWait)
     }
 
+    /**
+     * What this call and the others of [backend] do to each other: a long answer is held up by the prompts that arrive
+     * while it is made, and a prompt holds up every running answer.
+     */
+    private fun interferenceMs(
+        world: GatewayWorld,
+        backend: Backend,
+        prompt: Prompt,
+        uncachedTokens: Int,
+        state: ServiceState,
+    ): Double {
+        val vms = world.livePeersHere().size + 1
+        val promptMsPerS =
+            backend.recentPromptTokens * vms * state.msPerPromptToken / RECENT_PROMPTS_S
+        val promptShare = (promptMsPerS / MS_PER_S).coerceAtMost(1.0)
+        val heldUpMs = promptShare * prompt.outputTokens * MS_PER_OUTPUT_TOKEN
+        val holdsUpMs = uncachedTokens * state.msPerPromptToken * backend.load
+        return INTERFERENCE_WEIGHT * (heldUpMs + holdsUpMs)
+    }
+
     /** Shared tokens that [backend] has, or would get if every process chose the same server for them. */
     private fun cachedShare(
         shared: List<PromptPart>,
@@ -201,6 +222,16 @@
         call.route.objectiveMs * if (call.route.isRepeatable) 1.0 else UNSAFE_FAILURE_WEIGHT
 
     companion object {
+        /** A delay of the whole answer weighs less than one of its first event. */
+        private const val INTERFERENCE_WEIGHT = 0.08
+
+        /** Time for which recent prompt tokens stand. */
+        private const val RECENT_PROMPTS_S = 2.0
+        private const val MS_PER_S = 1_000.0
+
+        /** Order of magnitude of a batch step. */
+        private const val MS_PER_OUTPUT_TOKEN = 8.0
+
         /** Equal servers are told apart at random, by less than the shortest prompt takes. */
         private const val TIE_SPREAD_MS = 4.0
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerSystem.kt
@@ -12,6 +12,9 @@
 /** Part of a server's failure share that stays after one scan; half of it is forgotten in about 3 s. */
 private const val FAILURE_DECAY = 0.89
 
+/** Part of the recent prompt tokens that stays after one scan; the sum stands for about the last two seconds. */
+private const val PROMPT_DECAY = 0.78
+
 /** After this time without an answer to health checks a returned server is used as a cold one. */
 private const val HEALTH_PATIENCE_MS = 3_000L
 
@@ -47,6 +50,7 @@
     private fun scan(world: GatewayWorld, tick: GatewayTick) {
         for (backend in world.backends) {
             backend.failureShare *= FAILURE_DECAY
+            backend.recentPromptTokens *= PROMPT_DECAY
             if (backend.isHealthWanted) checkHealth(world, tick, backend)
         }
     }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
@@ -69,4 +69,14 @@
         expectThat(first.target).isA<SendTarget.Server>()
         expectThat(last.target).isA<SendTarget.Peer>()
     }
+
+    @Test
+    fun `long answers keep away from an engine that reads many prompts`() {
+        gateway.publish(1, catalog(brief), engine("m1"), engine("m2"))
+        val busy = (1L..12L).map { place(thing = 7, own = 100 + it) }.toSet().single()
+        val chat = Prompt(listOf(PromptPart(PartId(900), 600)), 600, 900)
+        val answers = List(4) { gateway.call(brief, chat).second.only<StartSend>().server }
+
+        expectThat(answers.filter { it == busy }).isEqualTo(emptyList())
+    }
 }
