Derive readiness in one place and count the region's VMs once a call

The condition for readiness stood three times, in EntrySystem and PeerSystem; it is a property of GatewayState now. Placement counted the live peers for each server of each call; it counts them once. Behaviour is the same.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/EntrySystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/EntrySystem.kt
@@ -10,7 +10,7 @@
     override fun run(world: GatewayWorld, tick: GatewayTick) {
         val process = world.process
         val view = EntryView(
-            isReady = process.view != null && !process.isDraining,
+            isReady = process.isReady,
             isDraining = process.isDraining,
             limits = world.catalog?.limits ?: CallerLimits(),
             entries = entries(world),
@@ -28,8 +28,7 @@
     private fun entries(world: GatewayWorld): List<EntryPoint> {
         val peers = world.peers.filter { it.isLive && it.isReady && !it.isDraining }
             .map { entryOf(it.identity) }
-        val isServing = world.process.view != null && !world.process.isDraining
-        return if (isServing) peers + entryOf(world.self) else peers
+        return if (world.process.isReady) peers + entryOf(world.self) else peers
     }
 
     private fun entryOf(identity: PeerIdentity) =
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
@@ -70,6 +70,10 @@
     var nextSend = 0L
     var published: EntryView? = null
 
+    /** Whether callers and peers may send calls: a view is there and no shutdown has begun. */
+    val isReady: Boolean
+        get() = view != null && !isDraining
+
     /** Time of the first tick. */
     var startedMs: Long? = null
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
@@ -49,7 +49,7 @@
         if (world.process.startedMs == null) world.process.startedMs = tick.nowMs
         tick.each<GossipReceived> { receive(world, tick, it.message) }
         judge(world, tick)
-        val state = PeerState(isReady(world), world.process.isDraining)
+        val state = PeerState(world.process.isReady, world.process.isDraining)
         send(world, tick, isUrgent = state != told)
         told = state
         sumShares(world)
@@ -161,7 +161,7 @@
             from = world.self,
             sentMs = tick.nowMs + 1,
             isDraining = world.process.isDraining,
-            isReady = isReady(world),
+            isReady = world.process.isReady,
             revision = view?.revision ?: 0,
             shares = if (isNear) shares(world) else emptyList(),
             services = if (isNear) emptyList() else services(world, tick),
@@ -170,9 +170,6 @@
         )
     }
 
-    private fun isReady(world: GatewayWorld) =
-        world.process.view != null && !world.process.isDraining
-
     private fun shares(world: GatewayWorld): List<ServerShare> =
         world.backends.filter { it.inFlight > 0 }
             .map { ServerShare(it.id, it.inFlight, it.pendingPromptTokens) }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -78,6 +78,7 @@
         val preferred = shared.lastOrNull()?.let { part ->
             usable.maxByOrNull { rendezvousScore(part.id.value, it.id.value) }
         }
+        val vmsHere = world.livePeersHere().size + 1
         var best: Backend? = null
         var bestCost = Double.MAX_VALUE
         var bestWait = 0.0
@@ -86,7 +87,7 @@
             val wait = expectedMs(backend, state, tokens, call.spec.prompt != null)
             var cost = wait + random.nextDouble() * TIE_SPREAD_MS
             cost += backend.failureShare * failureCostMs(call)
-            call.spec.prompt?.let { cost += interferenceMs(world, backend, it, tokens, state) }
+            call.spec.prompt?.let { cost += interferenceMs(vmsHere, backend, it, tokens, state) }
             if (backend.missingSinceMs != null) cost += MISSING_COST_MS
             if (nowMs < backend.coldUntilMs) cost += COLD_COST_MS
             cost -= cachedShare(shared, backend, preferred) * state.msPerPromptToken * CACHE_WEIGHT
@@ -104,15 +105,14 @@
      * while it is made, and a prompt holds up every running answer.
      */
     private fun interferenceMs(
-        world: GatewayWorld,
+        vmsHere: Int,
         backend: Backend,
         prompt: Prompt,
         uncachedTokens: Int,
         state: ServiceState,
     ): Double {
-        val vms = world.livePeersHere().size + 1
         val promptMsPerS =
-            backend.recentPromptTokens * vms * state.msPerPromptToken / RECENT_PROMPTS_S
+            backend.recentPromptTokens * vmsHere * state.msPerPromptToken / RECENT_PROMPTS_S
         val promptShare = (promptMsPerS / MS_PER_S).coerceAtMost(1.0)
         val heldUpMs = promptShare * prompt.outputTokens * MS_PER_OUTPUT_TOKEN
         val holdsUpMs = uncachedTokens * state.msPerPromptToken * backend.load
