--- a/standins/src/main/kotlin/org/pomeloladder/standins/RouteServerStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/RouteServerStandIn.kt
@@ -1,11 +1,14 @@
 /*
- * Stand-in of a backend server on the users' platform: it counts what it runs, signs its answers, and can be full, slow,
- * or lose answers.
+ * Stand-in of a backend server on the users' platform: it counts what it runs, signs its answers, streams events, and can
+ * be full, fail, or break off in the middle of an answer.
  */
 package org.pomeloladder.standins
 
+import java.io.IOException
+import java.io.InputStream
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
+import org.http4k.core.Body
 import org.http4k.core.HttpHandler
 import org.http4k.core.Request
 import org.http4k.core.Response
@@ -16,8 +19,12 @@
 private const val EXPECT_INSTANCE = "X-Pomeloladder-Expect-Instance"
 private const val WRONG_INSTANCE = 421
 
-/** How the stand-in answers. */
-enum class ServerMood { SOUND, FULL, FAILING }
+/** Paths that begin so are answered with [RouteServerStandIn.STREAM_EVENTS] events. */
+private const val STREAM_PREFIX = "/stream/"
+private const val EVENT_INTERVAL_MS = 15L
+
+/** How the stand-in answers. A breaking one ends streams in the middle of an event. */
+enum class ServerMood { SOUND, FULL, FAILING, BREAKING }
 
 /** One server with the id [instance]. A request takes [workMs]. */
 class RouteServerStandIn(val instance: String, private val workMs: Long = 20) : StandIn {
@@ -26,6 +33,11 @@
     /** How often each request id was run. */
     val runs = ConcurrentHashMap<String, AtomicInteger>()
 
+    /** When the last run began, as [System.nanoTime] gives it. */
+    @Volatile
+    var lastRunNanos = Long.MIN_VALUE
+        private set
+
     @Volatile
     var mood = ServerMood.SOUND
 
@@ -36,9 +48,9 @@
 
     override fun close() = listener.close()
 
-    /** The entry that the server keeps in the store. */
-    fun entry(service: String, zone: String, state: String = "ready") =
-        """{"Service":"$service","Address":"$address","Zone":"$zone","Version":"v1","Slots":6,""" +
+    /** The entry that the server keeps in the store; [at] is where it is reached. */
+    fun entry(service: String, zone: String, state: String = "ready", at: Address = address) =
+        """{"Service":"$service","Address":"$at","Zone":"$zone","Version":"v1","Slots":6,""" +
             """"State":"$state","ColdLeftMs":0,"Seq":1,"born":1}"""
 
     private fun handler(): HttpHandler = { request ->
@@ -53,14 +65,63 @@
 
     private fun run(request: Request): Response {
         val id = request.header(REQUEST_ID).orEmpty()
+        lastRunNanos = System.nanoTime()
         runs.computeIfAbsent(id) { AtomicInteger() }.incrementAndGet()
         Thread.sleep(workMs)
-        val status = if (mood == ServerMood.FAILING) Status.INTERNAL_SERVER_ERROR else Status.OK
-        return answer(request, status).body("answer of $instance to $id")
+        if (mood == ServerMood.FAILING) {
+            return answer(request, Status.INTERNAL_SERVER_ERROR).body("failure of $instance")
+        }
+        if (request.uri.path.startsWith(STREAM_PREFIX)) return stream(request, id)
+        return answer(request, Status.OK).body("answer of $instance to $id")
+    }
+
+    private fun stream(request: Request, id: String): Response {
+        val after = request.header("Last-Event-Id")?.toIntOrNull() ?: 0
+        return answer(request, Status.OK)
+            .header("Content-Type", "text/event-stream")
+            .body(Body(EventStream(id, after + 1)))
     }
 
     private fun answer(request: Request, status: Status) = Response(status)
         .header(REQUEST_ID, request.header(REQUEST_ID))
         .header("X-Pomeloladder-Server-Stamp", "stamp-$instance")
         .header("Keep-Alive", "timeout=5")
+
+    /** Events of the request [id] from number [next] on, one for each read. */
+    private inner class EventStream(private val id: String, private var next: Int) :
+        InputStream() {
+        private var pending = ByteArray(0)
+        private var position = 0
+
+        override fun read(): Int {
+            val one = ByteArray(1)
+            return if (read(one, 0, 1) < 0) -1 else one[0].toInt()
+        }
+
+        override fun read(buffer: ByteArray, offset: Int, length: Int): Int {
+            if (position == pending.size) {
+                if (next > STREAM_EVENTS) return -1
+                Thread.sleep(EVENT_INTERVAL_MS)
+                pending = event(next++, id).toByteArray()
+                position = 0
+            }
+            if (mood == ServerMood.BREAKING && position > 0) throw IOException("stream broken off")
+            val isBreaking = mood == ServerMood.BREAKING && next > BREAK_AT
+            val whole = minOf(length, pending.size - position)
+            val count = if (isBreaking) (whole / 2).coerceAtLeast(1) else whole
+            pending.copyInto(buffer, offset, position, position + count)
+            position += count
+            return count
+        }
+    }
+
+    companion object {
+        const val STREAM_EVENTS = 20
+
+        /** A breaking server stops in this event. */
+        private const val BREAK_AT = STREAM_EVENTS / 2
+
+        /** Event [number] of the answer to the request [id]. */
+        fun event(number: Int, id: String) = "id: $number\ndata: $number of $id\n\n"
+    }
 }
