--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -19,6 +19,7 @@
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import org.http4k.core.HttpHandler
 import org.http4k.core.MemoryBody
@@ -79,7 +80,7 @@
     private val self: VmId,
     private val wire: Wire,
     private val onStop: () -> Unit,
-    private val onBadDatagram: (String) -> Unit,
+    private val onBadMessage: (String) -> Unit,
 ) : CallerGate,
     ServerGate {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -91,7 +92,7 @@
     private val carriers = HashMap<SendId, ServerConnection>()
     private val connections = LinkedHashSet<CallerConnection>()
     private val heardServers = HashSet<BackendServerId>()
-    private val gossip = GossipChannel(loop, addresses.gossip, ::gossiped, onBadDatagram)
+    private val gossip = GossipChannel(loop, addresses.gossip, ::gossiped, onBadMessage)
     private val listeners = ArrayList<Channel>()
     private lateinit var events: EventSinkOf<GatewayEvent>
     private var nextCall = 0L
@@ -335,12 +336,22 @@
         val views = Address(from.host, addresses.views.port)
         fetcher.get(views, VIEW_PATH, VIEW_TIMEOUT_MS) { result ->
             if (result is Fetched.Answer && result.status == Status.OK.code) {
-                val view = cbor.decodeFromByteArray(PublishedView.serializer(), result.body)
-                events.post(ViewRead(view, ViewSource.PEER))
+                decodeView(result.body)?.let { events.post(ViewRead(it, ViewSource.PEER)) }
             }
         }
     }
 
+    /** Null when a peer of another build wrote a view that this one cannot read. */
+    private fun decodeView(bytes: ByteArray): PublishedView? = try {
+        cbor.decodeFromByteArray(PublishedView.serializer(), bytes)
+    } catch (e: SerializationException) {
+        onBadMessage(e.message.orEmpty())
+        null
+    } catch (e: IllegalArgumentException) {
+        onBadMessage(e.message.orEmpty())
+        null
+    }
+
     private fun viewFor(request: Request): Response {
         val view = entry.published
         if (request.uri.path != VIEW_PATH || view == null) return Response(Status.NOT_FOUND)
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
@@ -1,12 +1,15 @@
 package org.pomeloladder.traffic
 
+import java.util.concurrent.TimeUnit
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.pomeloladder.configuration.Address
 import org.pomeloladder.gateway.BreakReason
 import org.pomeloladder.gateway.CallerLeft
 import org.pomeloladder.gateway.CancelSend
 import org.pomeloladder.gateway.DeliverAnswer
 import org.pomeloladder.gateway.EndStream
+import org.pomeloladder.gateway.FetchView
 import org.pomeloladder.gateway.SendEnded
 import org.pomeloladder.gateway.SendOutcome
 import org.pomeloladder.gateway.SendStarted
@@ -16,6 +19,7 @@
 import strikt.assertions.contains
 import strikt.assertions.endsWith
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
 import strikt.assertions.startsWith
 
 class GatewayTrafficTest {
@@ -169,7 +173,24 @@
         expectThat(traffic.await<SendUnsent>().reason).isEqualTo(UnsentReason.CONNECT_FAILED)
     }
 
+    @Test
+    fun `a view that cannot be decoded is reported and leaves the traffic thread running`() {
+        val body = "not a view"
+        ScriptedServer(VIEWS_HOST, traffic.viewsPort).use { peer ->
+            traffic.execute(FetchView(Address(VIEWS_HOST, 1)))
+            val connection = peer.accept()
+            connection.readHead()
+            connection.write("HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n$body")
+
+            expectThat(traffic.badMessages.poll(10, TimeUnit.SECONDS)).isNotNull()
+        }
+        traffic.request(traffic.caller(), "r1")
+    }
+
     private companion object {
+        /** Another address of loopback, since all VMs use the same ports for peers. */
+        const val VIEWS_HOST = "127.0.0.2"
+
         /** Lets the bytes arrive before the reset, which discards what was not read. */
         const val SETTLE_MS = 200L
     }
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/TestTraffic.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/TestTraffic.kt
@@ -60,6 +60,7 @@
 /** A running traffic side. */
 internal class TestTraffic : AutoCloseable {
     val events = LinkedBlockingQueue<GatewayEvent>()
+    val badMessages = LinkedBlockingQueue<String>()
     private val ports = List(4) { freePort() }
     private val traffic = GatewayTraffic(
         addresses = TrafficAddresses(
@@ -71,10 +72,13 @@
         self = VmId("self"),
         wire = TestWire,
         onStop = {},
-        onBadDatagram = {},
+        onBadMessage = badMessages::add,
     )
     private var nextSend = 0L
 
+    val viewsPort: Int
+        get() = ports[3]
+
     init {
         traffic.start(events::add, emptyMap())
     }
@@ -121,8 +125,8 @@
     ServerSocket(0, 1, InetAddress.getByName(LOOPBACK)).use { it.localPort }
 
 /** A backend server whose answers the test writes byte by byte. */
-internal class ScriptedServer : AutoCloseable {
-    private val listener = ServerSocket().apply { bind(InetSocketAddress(LOOPBACK, 0)) }
+internal class ScriptedServer(host: String = LOOPBACK, fixedPort: Int = 0) : AutoCloseable {
+    private val listener = ServerSocket().apply { bind(InetSocketAddress(host, fixedPort)) }
     val port: Int
         get() = listener.localPort
 
