--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/LogEvent.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/LogEvent.kt
@@ -26,6 +26,7 @@
     VM_SUSPECTED(300, Severity.WARN, "entry VM suspected"),
     VM_LIVE(301, Severity.INFO, "entry VM live"),
     VM_DEAD(302, Severity.WARN, "entry VM considered dead"),
+    VM_UNLINKED(308, Severity.INFO, "link to an entry VM of another region given up"),
     PEER_REFUSED(303, Severity.WARN, "peer connection refused"),
     OWNER_CHANGED(304, Severity.INFO, "owner of a backend server changed"),
     DOMAIN_UNREACHABLE(305, Severity.WARN, "failure domain unreachable"),
--- a/gateway/src/main/kotlin/org/pomeloladder/entry/Gateway.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/entry/Gateway.kt
@@ -93,12 +93,12 @@
         self = self.vm,
         wire = deployment.wire,
         onStop = stopped::countDown,
-        onBadDatagram = { journal.log(LogEvent.PEER_REFUSED, mapOf("reason" to it)) },
+        onBadMessage = { journal.log(LogEvent.PEER_REFUSED, mapOf("reason" to it)) },
     )
     private val control = ControlThread<GatewayWorld, GatewayEvent, GatewayCommand>(
         scheduler = SchedulerOf(
             world,
-            gatewaySystems(),
+            gatewaySystems(self),
             Random(self.incarnation.value xor self.vm.hashCode().toLong()),
             journal,
         ),
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -97,7 +97,7 @@
     /** Whether a further arrival is within the retry budget. The first one is always free. */
     private fun isPaid(world: GatewayWorld, tick: GatewayTick, call: Call): Boolean {
         if (call.arrivals == 0) return true
-        val vms = maxOf(world.peers.size + 1, world.seeds.size)
+        val vms = maxOf(world.process.knownVms + 1, world.seeds.size)
         val isPaid = world.service(call.service).budget.take(tick.nowMs, world.bounds, vms)
         tick.journal.count(Counter.RETRIES, if (isPaid) "sent" else "no-budget")
         return isPaid
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSystem.kt
@@ -16,13 +16,17 @@
 
     /** Calls that came before the first view. */
     private val early = ArrayDeque<Early>()
+    private var scannedMs = Long.MIN_VALUE / 2
 
     override fun run(world: GatewayWorld, tick: GatewayTick) {
         tick.each<CallerLeft> { left ->
             early.removeIf { it.event.call == left.call }
             leave(world, tick, left.call)
         }
-        expire(world, tick)
+        if (tick.nowMs - scannedMs >= SCAN_INTERVAL_MS) {
+            scannedMs = tick.nowMs
+            expire(world, tick)
+        }
         admitEarly(world, tick)
         tick.each<CallArrived> { arrive(world, tick, it, tick.nowMs) }
         if (world.calls.size > 0 || early.isNotEmpty()) tick.wakeAt(tick.nowMs + SCAN_INTERVAL_MS)
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -73,6 +73,9 @@
     var services: Map<ServiceId, ServiceLoad> = emptyMap()
     var shares: List<ServerShare> = emptyList()
 
+    /** Whether the peer asked for datagrams from this process although it is in another region. */
+    var isLinkWanted = false
+
     /** Calls relayed there since its last datagram; its figures do not show them yet. */
     var relayedSince = 0
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/EntrySystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/EntrySystem.kt
@@ -7,8 +7,26 @@
 
 /** Publishes an [EntryView] whenever it changed. */
 class EntrySystem : GatewaySystem {
+    /** What a view depends on; most ticks change none of it. */
+    private data class Inputs(
+        val isReady: Boolean,
+        val isDraining: Boolean,
+        val revision: Long?,
+        val membershipVersion: Long,
+    )
+
+    private var inputs: Inputs? = null
+
     override fun run(world: GatewayWorld, tick: GatewayTick) {
         val process = world.process
+        val current = Inputs(
+            isReady = process.isReady,
+            isDraining = process.isDraining,
+            revision = process.view?.revision,
+            membershipVersion = process.membershipVersion,
+        )
+        if (current == inputs) return
+        inputs = current
         val view = EntryView(
             isReady = process.isReady,
             isDraining = process.isDraining,
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
@@ -4,13 +4,16 @@
 package org.pomeloladder.gateway
 
 /** All systems. Views come before calls, so that no tick routes by a view that the same tick replaces. */
-fun gatewaySystems(placement: PlacementPolicy = RealPlacementPolicy()): List<GatewaySystem> {
+fun gatewaySystems(
+    self: PeerIdentity,
+    placement: PlacementPolicy = RealPlacementPolicy(),
+): List<GatewaySystem> {
     val placer = CallPlacer(placement)
     return listOf(
         SettingsSystem(),
         ViewSystem(),
         ServerSystem(),
-        PeerSystem(placement),
+        PeerSystem(self, placement),
         SendSystem(placer),
         CallSystem(placer),
         ShutdownSystem(),
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
@@ -51,11 +51,19 @@
     val catalog: Catalog?
         get() = process.view?.catalog
 
+    private var peersHere: List<Peer> = emptyList()
+    private var peersHereVersion = -1L
+
     fun regionOf(domain: FailureDomainId): RegionId? = regions[domain]
 
     /** Live peers of this region that take calls, without this process. */
-    fun livePeersHere(): List<Peer> =
-        peers.filter { it.isLive && it.identity.region == self.region }
+    fun livePeersHere(): List<Peer> {
+        if (peersHereVersion != process.membershipVersion) {
+            peersHereVersion = process.membershipVersion
+            peersHere = peers.filter { it.isLive && it.identity.region == self.region }
+        }
+        return peersHere
+    }
 
     fun service(id: ServiceId): ServiceState = services.getOrPut(id) { ServiceState(id) }
 }
@@ -70,6 +78,12 @@
     var nextSend = 0L
     var published: EntryView? = null
 
+    /** Raised whenever a peer's liveness, state or identity changes; what is derived from peers is kept by it. */
+    var membershipVersion = 0L
+
+    /** Other VMs of the whole fleet that were named lately, for budgets that all VMs share. */
+    var knownVms = 0
+
     /** Whether callers and peers may send calls: a view is there and no shutdown has begun. */
     val isReady: Boolean
         get() = view != null && !isDraining
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
@@ -65,8 +65,14 @@
     @SerialName("i") val services: List<ServiceLoad> = emptyList(),
     @SerialName("j") val cached: List<CachedPart> = emptyList(),
     @SerialName("k") val others: List<PeerAddress> = emptyList(),
+    /** Whether the sender wants datagrams back although the receiver is in another region. */
+    @SerialName("l") val isLinkWanted: Boolean = false,
 )
 
 /** A VM that the sender hears, for peers that do not know it yet. */
 @Serializable
-data class PeerAddress(@SerialName("a") val vm: VmId, @SerialName("b") val gossip: Address)
+data class PeerAddress(
+    @SerialName("a") val vm: VmId,
+    @SerialName("b") val gossip: Address,
+    @SerialName("c") val region: RegionId,
+)
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
@@ -8,23 +8,35 @@
 import org.pomeloladder.decisions.Counter
 import org.pomeloladder.decisions.LogEvent
 
-/** Interval of datagrams to VMs of the own region, which share its servers, and to others. */
+/** Shortest intervals of datagrams to VMs of the own region, which share its servers, and to others. */
 private const val NEAR_INTERVAL_MS = 250L
 private const val FAR_INTERVAL_MS = 500L
 
+/**
+ * Most datagrams a second to the own region and to others; intervals grow with the number of VMs. A datagram has about
+ * 200 bytes, so both together stay within the 9 KB/s that a node may spend on control.
+ */
+private const val MOST_NEAR_PER_S = 30L
+private const val MOST_FAR_PER_S = 14L
+
 /** VMs that start together find each other within a few of these. */
 private const val GREETING_INTERVAL_MS = 120L
 private const val STARTING_MS = 5_000L
 
-/** Four lost datagrams in a row from another region, eight from the own one. */
+/** Least silence of a VM that is taken for dead, and at least this many lost datagrams in a row. */
 private const val SILENT_MS = 2_000L
+private const val SILENT_INTERVALS = 4
 
-/** The own clock must have come back within this time, or the link may work one way only. */
-private const val ECHO_MS = 3_500L
+/** The own clock must have come back within this much more time, or the link may work one way only. */
+private const val ECHO_MARGIN_MS = 1_500L
 
 /** A VM that was silent for this long is forgotten. */
 private const val FORGET_MS = 60_000L
 
+/** Interval at which links into other regions are chosen again. */
+private const val CHOICE_INTERVAL_MS = 500L
+private const val MS_PER_S = 1_000L
+
 /** A lower incarnation is taken when the known one was silent for this long: clocks may step back. */
 private const val REPLACED_MS = 1_000L
 
@@ -37,28 +49,66 @@
 /** Most other VMs named in one datagram. */
 private const val MOST_OTHERS = 8
 
+/** Ticks come with every event; the table of peers is looked through no more often than this. */
+private const val SCAN_INTERVAL_MS = 20L
+
 /** What other VMs must learn at once: their directories and relays depend on it. */
 private data class PeerState(val isReady: Boolean = false, val isDraining: Boolean = false)
 
 /** Exchanges datagrams and keeps the table of peers. */
-class PeerSystem(private val placement: PlacementPolicy) : GatewaySystem {
-    private val contacts = HashMap<Address, Long>()
+class PeerSystem(private val self: PeerIdentity, private val placement: PlacementPolicy) :
+    GatewaySystem {
+    private val links = RegionLinks(self)
+    private val greeted = HashMap<Address, Long>()
     private var told = PeerState()
+    private var scannedMs = Long.MIN_VALUE / 2
+    private var chosenMs = Long.MIN_VALUE / 2
+    private var nearIntervalMs = NEAR_INTERVAL_MS
+    private var farIntervalMs = FAR_INTERVAL_MS
 
     override fun run(world: GatewayWorld, tick: GatewayTick) {
         if (world.process.startedMs == null) world.process.startedMs = tick.nowMs
-        tick.each<GossipReceived> { receive(world, tick, it.message) }
-        judge(world, tick)
+        var isHeard = false
+        tick.each<GossipReceived> {
+            receive(world, tick, it.message)
+            isHeard = true
+        }
         val state = PeerState(world.process.isReady, world.process.isDraining)
-        send(world, tick, isUrgent = state != told)
-        told = state
-        sumShares(world)
+        val isUrgent = state != told
+        if (isHeard || isUrgent || tick.nowMs - scannedMs >= SCAN_INTERVAL_MS) {
+            scannedMs = tick.nowMs
+            chooseLinks(world, tick)
+            judge(world, tick)
+            send(world, tick, isUrgent)
+            told = state
+            sumShares(world)
+        }
         tick.wakeAt(tick.nowMs + NEAR_INTERVAL_MS / 2)
     }
 
+    private fun chooseLinks(world: GatewayWorld, tick: GatewayTick) {
+        if (tick.nowMs - chosenMs < CHOICE_INTERVAL_MS) return
+        chosenMs = tick.nowMs
+        links.choose(tick.nowMs) { vm ->
+            world.peers[vm]?.let { tick.nowMs - it.heardMs < SILENT_MS } == true
+        }
+        world.process.knownVms = links.size
+        val near = world.peers.count { isNear(it) }
+        val far = world.peers.count { !isNear(it) && isLinked(it) }
+        nearIntervalMs = maxOf(NEAR_INTERVAL_MS, near * MS_PER_S / MOST_NEAR_PER_S)
+        farIntervalMs = maxOf(FAR_INTERVAL_MS, far * MS_PER_S / MOST_FAR_PER_S)
+    }
+
+    private fun isNear(peer: Peer) = peer.identity.region == self.region
+
+    /** Whether datagrams go to [peer] regularly. */
+    private fun isLinked(peer: Peer) = isNear(peer) || peer.isLinkWanted || peer.vm in links.chosen
+
+    private fun intervalMs(peer: Peer) = if (isNear(peer)) nearIntervalMs else farIntervalMs
+
     private fun receive(world: GatewayWorld, tick: GatewayTick, message: GossipMessage) {
         val from = message.from
-        if (from.vm == world.self.vm) return
+        if (from.vm == self.vm) return
         val peer = world.peers.getOrPut(from.vm) { Peer(from) }
         if (from.incarnation != peer.incarnation) {
             val isSilent = tick.nowMs - peer.heardMs > REPLACED_MS
@@ -66,23 +116,25 @@
             peer.identity = from
             peer.heardSentMs = 0
             peer.revision = 0
+            world.process.membershipVersion++
         }
         if (message.sentMs <= peer.heardSentMs) return
         peer.heardMs = tick.nowMs
         peer.heardSentMs = message.sentMs
+        if (peer.isDraining != message.isDraining || peer.isReady != message.isReady) {
+            world.process.membershipVersion++
+        }
         peer.isDraining = message.isDraining
         peer.isReady = message.isReady
+        peer.isLinkWanted = message.isLinkWanted
         peer.revision = message.revision
         peer.services = message.services.associateBy { it.service }
         peer.shares = message.shares
         peer.relayedSince = 0
         if (message.echoMs > 0) echo(peer, tick.nowMs - message.echoMs - message.echoHeldMs, tick)
         message.cached.forEach { noteCached(world, it) }
-        for (other in message.others) {
-            if (other.vm != world.self.vm && other.vm !in world.peers) {
-                contacts.getOrPut(other.gossip) { Long.MIN_VALUE / 2 }
-            }
-        }
+        links.name(PeerAddress(from.vm, from.gossip, from.region), tick.nowMs)
+        message.others.forEach { links.name(it, tick.nowMs) }
     }
 
     private fun echo(peer: Peer, roundTripMs: Long, tick: GatewayTick) {
@@ -103,54 +155,62 @@
 
     private fun judge(world: GatewayWorld, tick: GatewayTick) {
         for (peer in world.peers) {
-            val isLive = tick.nowMs - peer.heardMs < SILENT_MS &&
-                tick.nowMs - peer.echoedMs < ECHO_MS
+            val silentMs = maxOf(SILENT_MS, intervalMs(peer) * SILENT_INTERVALS)
+            val isLive = tick.nowMs - peer.heardMs < silentMs &&
+                tick.nowMs - peer.echoedMs < silentMs + ECHO_MARGIN_MS
             if (isLive == peer.isLive) continue
             peer.isLive = isLive
-            val event = if (isLive) LogEvent.VM_LIVE else LogEvent.VM_DEAD
+            world.process.membershipVersion++
+            val event = when {
+                isLive -> LogEvent.VM_LIVE
+                isLinked(peer) -> LogEvent.VM_DEAD
+                else -> LogEvent.VM_UNLINKED
+            }
             val details = mapOf(
                 "peer" to peer.vm,
                 "incarnation" to peer.incarnation,
                 "silentMs" to tick.nowMs - peer.heardMs,
             )
             tick.journal.log(event, details)
-            tick.journal.count(Counter.MEMBERSHIP, if (isLive) "live" else "dead")
+            tick.journal.count(Counter.MEMBERSHIP, event.name.removePrefix("VM_").lowercase())
         }
         world.peers.removeIf { tick.nowMs - it.heardMs > FORGET_MS }
     }
 
     private fun send(world: GatewayWorld, tick: GatewayTick, isUrgent: Boolean) {
-        val near = message(world, tick, isNear = true)
-        val far = message(world, tick, isNear = false)
+        val near by lazy(LazyThreadSafetyMode.NONE) { message(world, tick, isNear = true) }
+        val far by lazy(LazyThreadSafetyMode.NONE) { message(world, tick, isNear = false) }
         var isNearSent = false
         for (peer in world.peers) {
-            val isNear = peer.identity.region == world.self.region
-            val intervalMs = if (isNear) NEAR_INTERVAL_MS else FAR_INTERVAL_MS
-            if (!isUrgent && tick.nowMs - peer.sentMs < intervalMs) continue
+            if (!isLinked(peer)) continue
+            if (!isUrgent && tick.nowMs - peer.sentMs < intervalMs(peer)) continue
             peer.sentMs = tick.nowMs
+            val isNear = isNear(peer)
             val base = if (isNear) near else far
             val echoed = base.copy(
                 echoMs = peer.heardSentMs,
                 echoHeldMs = tick.nowMs - peer.heardMs,
+                isLinkWanted = peer.vm in links.chosen,
             )
             tick.give(SendGossip(peer.identity.gossip, echoed))
             isNearSent = isNearSent || isNear
         }
-        greet(world, tick, far)
+        greet(world, tick) { far.copy(isLinkWanted = true) }
         if (isNearSent) world.recentlyCached.clear()
     }
 
     /** Sends to seeds and to VMs that others named, until they answer. */
-    private fun greet(world: GatewayWorld, tick: GatewayTick, message: GossipMessage) {
-        val known = world.peers.map { it.identity.gossip }.toSet() + world.self.gossip
-        for (seed in world.seeds) contacts.getOrPut(seed) { Long.MIN_VALUE / 2 }
-        contacts.keys.removeIf { it in known && it !in world.seeds }
+    private fun greet(world: GatewayWorld, tick: GatewayTick, message: () -> GossipMessage) {
+        val known = world.peers.map { it.identity.gossip }.toSet() + self.gossip
+        val unknown = (world.seeds + links.wanted().map { it.gossip }).toSet() - known
+        greeted.keys.retainAll(unknown)
         val isStarting = tick.nowMs - (world.process.startedMs ?: tick.nowMs) < STARTING_MS
         val intervalMs = if (isStarting) GREETING_INTERVAL_MS else FAR_INTERVAL_MS
-        for ((address, sentMs) in contacts) {
-            if (address in known || tick.nowMs - sentMs < intervalMs) continue
-            contacts[address] = tick.nowMs
-            tick.give(SendGossip(address, message))
+        for (address in unknown) {
+            val sentMs = greeted[address]
+            if (sentMs != null && tick.nowMs - sentMs < intervalMs) continue
+            greeted[address] = tick.nowMs
+            tick.give(SendGossip(address, message()))
         }
     }
 
@@ -166,7 +226,7 @@
             shares = if (isNear) shares(world) else emptyList(),
             services = if (isNear) emptyList() else services(world, tick),
             cached = if (isNear) world.recentlyCached.takeLast(MOST_PARTS) else emptyList(),
-            others = others.map { PeerAddress(it.vm, it.identity.gossip) },
+            others = others.map { PeerAddress(it.vm, it.identity.gossip, it.identity.region) },
         )
     }
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -37,6 +37,8 @@
             null
         }
         if (call.spec.origin is CallOrigin.Peer) return here ?: nowhere(world, call, nowMs)
+        // No other region can be better by the margin.
+        if (here != null && here.waitMs <= REGION_MARGIN_MS) return here
         val there = chooseThere(world, call, nowMs, random)
         return when {
             here == null && there == null -> nowhere(world, call, nowMs)
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/PeerSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/PeerSystemTest.kt
@@ -6,6 +6,7 @@
 import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
 import strikt.assertions.isTrue
 
 class PeerSystemTest {
@@ -73,4 +74,26 @@
         val told = (commands + next).all<SendGossip>().any { it.message.isDraining }
         expectThat(told).isTrue()
     }
+
+    @Test
+    fun `datagrams to a large fleet are bounded, so that control stays within its share of a VM`() {
+        val peers = List(25) { identity("near-$it", NORTH) } +
+            List(40) { identity("south-$it", SOUTH) }
+        var sent = 0
+        repeat(100) { round ->
+            val from = peers.filterIndexed { index, _ -> index % 10 == round % 10 }
+            val heard = from.map {
+                GossipReceived(
+                    it.gossip,
+                    GossipMessage(it, sentMs = gateway.nowMs, echoMs = gateway.nowMs),
+                )
+            }
+            val commands = gateway.tick(*heard.toTypedArray(), afterMs = 100)
+            if (round >= 50) sent += commands.all<SendGossip>().size
+        }
+
+        // 5 s: at most 30 a second to the own region and 14 to the others, and one round more at the ends.
+        expectThat(sent).isLessThan(5 * 44 + 65)
+        expectThat(gateway.world.process.knownVms).isEqualTo(65)
+    }
 }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestGateway.kt
@@ -109,7 +109,7 @@
     )
     var nowMs = 1_000L
     private var nextCall = 0L
-    private val scheduler = SchedulerOf(world, gatewaySystems(), Random(seed), NoJournal)
+    private val scheduler = SchedulerOf(world, gatewaySystems(world.self), Random(seed), NoJournal)
 
     /** Runs one tick with [events] after [afterMs] and returns its commands. */
     fun tick(vararg events: GatewayEvent, afterMs: Long = 1): List<GatewayCommand> {
