--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSpec.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSpec.kt
@@ -9,7 +9,10 @@
 /** A part of a prompt and its size. */
 data class PromptPart(val id: PartId, val tokens: Int)
 
-/** The prompt of a call to a model engine. The last part belongs to the call or its session alone. */
+/**
+ * The prompt of a call to a model engine. The last part belongs to the call or its session alone. [outputTokens] is what
+ * the caller expects, or allows when it did not say what it expects.
+ */
 data class Prompt(val parts: List<PromptPart>, val promptTokens: Int, val outputTokens: Int) {
     val sharedParts: List<PromptPart>
         get() = if (parts.isEmpty()) parts else parts.subList(0, parts.size - 1)
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -21,6 +21,7 @@
     /** What other VMs of the region put on the server, as of their last datagrams. */
     var peerInFlight = 0
     var peerPendingTokens = 0L
+    var peerRecentTokens = 0L
 
     /** As last reported by the server, and when. */
     var reported: LoadReport? = null
@@ -33,6 +34,9 @@
     var unreachableUntilMs = 0L
     var connectFailures = 0
 
+    /** When this process saw the server begin to leave; null when it is not leaving or was first seen so. */
+    var leavingSinceMs: Long? = null
+
     /** Set while the entry is missing; the server is dropped when it stays so. */
     var missingSinceMs: Long? = null
 
@@ -45,7 +49,7 @@
     var isHealthWanted = false
     val cache = PrefixCache()
 
-    /** Prompt tokens that this process sent lately, decaying; the sum over the region is estimated from it. */
+    /** Prompt tokens that this process sent lately, decaying; other VMs of the region tell theirs. */
     var recentPromptTokens = 0.0
 
     val load: Int
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
@@ -32,6 +32,7 @@
     @SerialName("a") val server: BackendServerId,
     @SerialName("b") val inFlight: Int,
     @SerialName("c") val pendingPromptTokens: Long,
+    @SerialName("d") val recentPromptTokens: Long = 0,
 )
 
 /** What a region has of a service. [waitMs] is the expected wait of a call that is placed best. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
@@ -231,8 +231,15 @@
     }
 
     private fun shares(world: GatewayWorld): List<ServerShare> =
-        world.backends.filter { it.inFlight > 0 }
-            .map { ServerShare(it.id, it.inFlight, it.pendingPromptTokens) }
+        world.backends.filter { it.inFlight > 0 || it.recentPromptTokens >= 1 }
+            .map {
+                ServerShare(
+                    server = it.id,
+                    inFlight = it.inFlight,
+                    pendingPromptTokens = it.pendingPromptTokens,
+                    recentPromptTokens = it.recentPromptTokens.toLong(),
+                )
+            }
 
     private fun services(world: GatewayWorld, tick: GatewayTick): List<ServiceLoad> =
         world.catalog?.services.orEmpty()
@@ -243,12 +250,14 @@
         for (backend in world.backends) {
             backend.peerInFlight = 0
             backend.peerPendingTokens = 0
+            backend.peerRecentTokens = 0
         }
         for (peer in world.livePeersHere()) {
             for (share in peer.shares) {
                 val backend = world.backends[share.server] ?: continue
                 backend.peerInFlight += share.inFlight
                 backend.peerPendingTokens += share.pendingPromptTokens
+                backend.peerRecentTokens += share.recentPromptTokens
             }
         }
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -6,7 +6,7 @@
 
 import kotlin.random.Random
 import org.pomeloladder.configuration.ServiceId
-import org.pomeloladder.decisions.rendezvousScore
+import org.pomeloladder.decisions.rendezvousOrder
 
 /** Where a call should go. */
 sealed interface Choice {
@@ -31,17 +31,13 @@
 /** The policy of production. */
 class RealPlacementPolicy : PlacementPolicy {
     override fun choose(world: GatewayWorld, call: Call, nowMs: Long, random: Random): Choice {
-        val here = if (call.route.allows(world.self.region)) {
-            chooseHere(world, call, nowMs, random)
-        } else {
-            null
-        }
-        if (call.spec.origin is CallOrigin.Peer) return here ?: nowhere(world, call, nowMs)
+        val here = chooseHere(world, call, nowMs, random, ::isUsable)
+        if (call.spec.origin is CallOrigin.Peer) return here ?: orElse(world, call, nowMs, random)
         // No other region can be better by the margin.
         if (here != null && here.waitMs <= REGION_MARGIN_MS) return here
         val there = chooseThere(world, call, nowMs, random)
         return when {
-            here == null && there == null -> nowhere(world, call, nowMs)
+            here == null && there == null -> orElse(world, call, nowMs, random)
             here == null -> checkNotNull(there)
             there == null || here.waitMs <= there.waitMs + REGION_MARGIN_MS -> here
             else -> there
@@ -58,38 +54,45 @@
             service = service,
             places = usable.sumOf { it.record.slots },
             inUse = usable.sumOf { it.load },
-            waitMs = waits.minOrNull()?.toLong() ?: NO_WAIT_KNOWN_MS,
+            waitMs = waits.sorted().getOrNull(waits.size / TYPICAL_WAIT_PART)?.toLong()
+                ?: NO_WAIT_KNOWN_MS,
         )
     }
 
+    /** A server that is leaving, when no other can be had. */
+    private fun orElse(world: GatewayWorld, call: Call, nowMs: Long, random: Random): Choice =
+        chooseHere(world, call, nowMs, random, ::isLastResort) ?: nowhere(world, call, nowMs)
+
     private fun chooseHere(
         world: GatewayWorld,
         call: Call,
         nowMs: Long,
         random: Random,
+        isCandidate: (GatewayWorld, Backend, Long) -> Boolean,
     ): Choice.Here? {
+        if (!call.route.allows(world.self.region)) return null
         val state = world.service(call.service)
         val usable = world.backends.filter {
             it.record.service == call.service &&
                 it.id !in call.avoided &&
-                isUsable(world, it, nowMs) &&
+                isCandidate(world, it, nowMs) &&
                 hasColdRoom(world, it, nowMs)
         }
         if (usable.isEmpty()) return null
         val shared = call.spec.prompt?.sharedParts.orEmpty()
-        val preferred = shared.lastOrNull()?.let { part ->
-            usable.maxByOrNull { rendezvousScore(part.id.value, it.id.value) }
+        val order = shared.lastOrNull()?.let { part ->
+            usable.rendezvousOrder(part.id.value) { it.id.value }
         }
-        val vmsHere = world.livePeersHere().size + 1
+        val preferred = order?.first()
         var best: Backend? = null
         var bestCost = Double.MAX_VALUE
         var bestWait = 0.0
-        for (backend in usable) {
+        for (backend in candidates(usable, order, random)) {
             val tokens = uncachedTokens(call.spec.prompt, backend)
             val wait = expectedMs(backend, state, tokens, call.spec.prompt != null)
             var cost = wait + random.nextDouble() * TIE_SPREAD_MS
             cost += backend.failureShare * failureCostMs(call)
-            call.spec.prompt?.let { cost += interferenceMs(vmsHere, backend, it, tokens, state) }
+            call.spec.prompt?.let { cost += interferenceMs(backend, it, tokens, state) }
             if (backend.missingSinceMs != null) cost += MISSING_COST_MS
             if (nowMs < backend.coldUntilMs) cost += COLD_COST_MS
             cost -= cachedShare(shared, backend, preferred) * state.msPerPromptToken * CACHE_WEIGHT
@@ -102,19 +105,34 @@
         return Choice.Here(checkNotNull(best), bestWait)
     }
 
+    /**
+     * The servers that are compared: all of a few, otherwise some at random beside the first in rendezvous order. What
+     * other processes placed is known late, so all of them would take the same server that was best a moment ago.
+     */
+    private fun candidates(
+        usable: List<Backend>,
+        order: List<Backend>?,
+        random: Random,
+    ): Collection<Backend> {
+        if (usable.size <= MOST_COMPARED) return usable
+        val chosen = LinkedHashSet<Backend>()
+        order?.let { chosen += it.subList(0, PREFERRED_COMPARED) }
+        while (chosen.size < MOST_COMPARED) chosen += usable[random.nextInt(usable.size)]
+        return chosen
+    }
+
     /**
      * What this call and the others of [backend] do to each other: a long answer is held up by the prompts that arrive
      * while it is made, and a prompt holds up every running answer.
      */
     private fun interferenceMs(
-        vmsHere: Int,
         backend: Backend,
         prompt: Prompt,
         uncachedTokens: Int,
         state: ServiceState,
     ): Double {
-        val promptMsPerS =
-            backend.recentPromptTokens * vmsHere * state.msPerPromptToken / RECENT_PROMPTS_S
+        val recentTokens = backend.recentPromptTokens + backend.peerRecentTokens
+        val promptMsPerS = recentTokens * state.msPerPromptToken / RECENT_PROMPTS_S
         val promptShare = (promptMsPerS / MS_PER_S).coerceAtMost(1.0)
         val heldUpMs = promptShare * prompt.outputTokens * MS_PER_OUTPUT_TOKEN
         val holdsUpMs = uncachedTokens * state.msPerPromptToken * backend.load
@@ -224,6 +242,15 @@
         call.route.objectiveMs * if (call.route.isRepeatable) 1.0 else UNSAFE_FAILURE_WEIGHT
 
     companion object {
+        /** Servers that a call compares. Two at random already avoid most of the crowding that one would meet. */
+        private const val MOST_COMPARED = 6
+
+        /** Servers of them that rendezvous prefers for the call's shared parts. */
+        private const val PREFERRED_COMPARED = 2
+
+        /** A call that compares a few servers meets about the wait that a quarter of them are below. */
+        private const val TYPICAL_WAIT_PART = 4
+
         /** A delay of the whole answer weighs less than one of its first event. */
         private const val INTERFERENCE_WEIGHT = 0.08
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PublishedView.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PublishedView.kt
@@ -10,7 +10,10 @@
 import org.pomeloladder.configuration.FailureDomainId
 import org.pomeloladder.configuration.ServiceId
 
-/** A backend server as it announced itself. Durations count from the moment of the announcement. */
+/**
+ * A backend server as it announced itself. Durations count from the moment of the announcement. [endsInMs] is set when the
+ * server is taken away at short notice.
+ */
 @Serializable
 data class BackendRecord(
     val id: BackendServerId,
@@ -21,6 +24,7 @@
     val isDraining: Boolean,
     val coldForMs: Long,
     val startedAtUnixMs: Long,
+    val endsInMs: Long? = null,
 )
 
 /** Catalog, backend servers and evacuated failure domains. [revision] never decreases at one process. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
@@ -15,11 +15,25 @@
 /** A process that has just started does not know yet with how many others it shares a bound. */
 private const val ACQUAINTANCE_MS = 1_000L
 
+/** Part of the bound on drains that is not used, for the age of the news and the way of a call. */
+private const val LEAVING_RESERVE_MS = 2_000L
+
 /** Whether calls may go to [backend] at [nowMs]: announced, not leaving, not evacuated, reachable, in this region. */
-internal fun isUsable(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean {
+internal fun isUsable(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean =
+    !backend.record.isDraining && isOpen(world, backend, nowMs)
+
+/** Whether [backend] is leaving and still serves, for calls that have no other place. */
+internal fun isLastResort(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean {
+    val sinceMs = backend.leavingSinceMs ?: return false
+    return backend.record.isDraining &&
+        backend.record.endsInMs == null &&
+        nowMs - sinceMs < world.bounds.drainMs - LEAVING_RESERVE_MS &&
+        isOpen(world, backend, nowMs)
+}
+
+private fun isOpen(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean {
     val record = backend.record
-    return !record.isDraining &&
-        !backend.isReplaced &&
+    return !backend.isReplaced &&
         !backend.isHealthWanted &&
         nowMs >= backend.unreachableUntilMs &&
         record.domain !in world.process.view?.evacuated.orEmpty() &&
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
@@ -113,11 +113,13 @@
         val before = backend.record
         if (before == record) return
         if (record.isDraining && !before.isDraining) {
+            backend.leavingSinceMs = tick.nowMs
             tick.journal.log(LogEvent.BACKEND_LEAVING, mapOf("server" to record.id))
             tick.give(DropConnections(record.id))
         }
         if (record.startedAtUnixMs != before.startedAtUnixMs) {
             backend.cache.clear()
+            backend.leavingSinceMs = null
             backend.unreachableUntilMs = 0
             backend.isReplaced = false
         }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
@@ -5,6 +5,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 
 class RealPlacementPolicyTest {
     private val gateway = TestGateway()
@@ -79,4 +80,30 @@
 
         expectThat(answers.filter { it == busy }).isEqualTo(emptyList())
     }
+
+    @Test
+    fun `processes with the same late figures do not all take the same server of many`() {
+        val engines = (0 until 20).map { engine("m$it") }
+        val shares = engines.drop(1).map { ServerShare(it.id, 30, 0) }
+        val chat = Prompt(listOf(PromptPart(PartId(900), 600)), 600, 300)
+        val places = (1..40).map { seed ->
+            val process = TestGateway(seed)
+            process.publish(1, catalog(brief), *engines.toTypedArray())
+            process.hear(identity("p", NORTH)) { it.copy(shares = shares) }
+            process.call(brief, chat).second.only<StartSend>().server
+        }
+
+        expectThat(places.count { it == "m0" }).isLessThan(20)
+    }
+
+    @Test
+    fun `prompts that other processes send count for long answers`() {
+        gateway.publish(1, catalog(brief), engine("m1"), engine("m2"))
+        val share = ServerShare(BackendServerId("m1"), 0, 0, recentPromptTokens = 60_000)
+        gateway.hear(identity("p", NORTH)) { it.copy(shares = listOf(share)) }
+        val chat = Prompt(listOf(PromptPart(PartId(900), 600)), 600, 900)
+        val answers = List(4) { gateway.call(brief, chat).second.only<StartSend>().server }
+
+        expectThat(answers.toSet()).isEqualTo(setOf("m2"))
+    }
 }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ViewSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ViewSystemTest.kt
@@ -74,4 +74,30 @@
         expectThat(checks).hasSize(1)
         expectThat(after.all<StartSend>()).hasSize(1)
     }
+
+    @Test
+    fun `a leaving server is used for a moment only when there is no other`() {
+        gateway.publish(1, catalog(lookup), server("a"), server("b"))
+        gateway.publish(2, catalog(lookup), server("a") { it.copy(isDraining = true) }, server("b"))
+        val withOther = gateway.call(lookup).second.only<StartSend>().server
+        val leaving = server("b") { it.copy(isDraining = true) }
+        gateway.publish(3, catalog(lookup), leaving)
+        val alone = gateway.call(lookup).second.only<StartSend>().server
+        gateway.tick(afterMs = 2_100)
+        val late = gateway.call(lookup).second
+
+        expectThat(withOther).isEqualTo("b")
+        expectThat(alone).isEqualTo("b")
+        expectThat(late.only<RefuseCall>().reason).isEqualTo(CallRefusal.OVERLOADED)
+    }
+
+    @Test
+    fun `a server that ends at short notice gets nothing more`() {
+        gateway.publish(1, catalog(lookup), server("a"))
+        val ending = server("a") { it.copy(isDraining = true, endsInMs = 2_000) }
+        gateway.publish(2, catalog(lookup), ending)
+
+        expectThat(gateway.call(lookup).second.only<RefuseCall>().reason)
+            .isEqualTo(CallRefusal.OVERLOADED)
+    }
 }
