--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -136,6 +136,7 @@
         val capacity = service?.engine?.kvCapacityTokens ?: return
         for (part in prompt.sharedParts) {
             backend.cache.add(part, capacity)
+            if (part.tokens < LEAST_TOLD_TOKENS) continue
             world.recentlyCached += CachedPart(backend.id, part.id, part.tokens)
         }
     }
@@ -205,6 +206,8 @@
         (waitMs / 2).toLong().coerceIn(RETRY_AFTER_MS, MOST_RETRY_AFTER_MS)
 
     private companion object {
+        /** Smaller parts are read again in a few milliseconds; telling them would crowd out the others. */
+        const val LEAST_TOLD_TOKENS = 256
         const val RETRY_AFTER_MS = 300L
         const val MOST_RETRY_AFTER_MS = 1_500L
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -48,6 +48,7 @@
     /** Set when the server's zone came back from an evacuation and its health is not known yet. */
     var isHealthWanted = false
     val cache = PrefixCache()
+    val pace = EventPace()
 
     /** Prompt tokens that this process sent lately, decaying; other VMs of the region tell theirs. */
     var recentPromptTokens = 0.0
@@ -72,7 +73,6 @@
 
     /** When this process last saw its own clock echoed: the link works both ways. */
     var echoedMs = Long.MIN_VALUE / 2
-    var sentMs = Long.MIN_VALUE / 2
     var unreachableUntilMs = 0L
     var services: Map<ServiceId, ServiceLoad> = emptyMap()
     var shares: List<ServerShare> = emptyList()
@@ -138,6 +138,8 @@
 
 /** What this process knows of a service. */
 class ServiceState(val id: ServiceId) {
+    val answers = AnswerLength()
+
     /** Moving averages: prompt work and whole calls. */
     var msPerPromptToken = INITIAL_MS_PER_PROMPT_TOKEN
     var callMs = 0.0
--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/EventPace.kt
@@ -0,0 +1,71 @@
+/*
+ * How fast a model engine makes answers, measured from the streams that pass through the entry VMs. It includes
+ * everything that slows an engine down: a crowded batch, prompts of other calls, neighbours on its machine.
+ */
+package org.pomeloladder.gateway
+
+import kotlin.math.pow
+
+/** Part of the average that stays after one more gap; about the last twenty count. */
+private const val KEPT_PER_GAP = 0.95
+
+/** An average without a new gap for this long says nothing any more. */
+private const val STALE_MS = 3_000L
+
+/** Time between events at one engine. 0 stands for no observation. */
+class EventPace {
+    private var gapMs = 0.0
+    private var notedMs = Long.MIN_VALUE / 2
+    private var peerTotalMs = 0.0
+    private var peerCount = 0
+
+    fun note(gaps: EventGaps, nowMs: Long) {
+        if (gaps.count == 0) return
+        val mean = gaps.totalMs / gaps.count
+        val kept = if (nowMs - notedMs > STALE_MS) 0.0 else KEPT_PER_GAP.pow(gaps.count)
+        gapMs = kept * gapMs + (1 - kept) * mean
+        notedMs = nowMs
+    }
+
+    /** What this process saw lately. */
+    fun ownGapMs(nowMs: Long): Double = if (nowMs - notedMs > STALE_MS) 0.0 else gapMs
+
+    fun forgetPeers() {
+        peerTotalMs = 0.0
+        peerCount = 0
+    }
+
+    fun noteOfPeer(gapMs: Double) {
+        if (gapMs <= 0) return
+        peerTotalMs += gapMs
+        peerCount++
+    }
+
+    /** The mean over this process and its peers; 0 when nobody has a stream there. */
+    fun gapMs(nowMs: Long): Double {
+        val own = ownGapMs(nowMs)
+        val count = peerCount + if (own > 0) 1 else 0
+        return if (count == 0) 0.0 else (peerTotalMs + own) / count
+    }
+}
+
+/** Learns how many tokens of the callers' estimates one event of a stream stands for. */
+class AnswerLength {
+    private var tokens = 0.0
+    private var events = 0.0
+
+    fun note(expectedTokens: Int, seenEvents: Int) {
+        if (expectedTokens <= 0 || seenEvents <= 0) return
+        tokens = KEPT_PER_ANSWER * tokens + expectedTokens
+        events = KEPT_PER_ANSWER * events + seenEvents
+    }
+
+    /** Events that an answer of [expectedTokens] tokens will have; 0 before any answer was seen. */
+    fun expectedEvents(expectedTokens: Int): Double =
+        if (tokens == 0.0) 0.0 else expectedTokens * events / tokens
+
+    private companion object {
+        /** About the last fifty answers count, since single estimates are often far off. */
+        const val KEPT_PER_ANSWER = 0.98
+    }
+}
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
@@ -30,9 +30,13 @@
 /** The first event of a stream, or the head of another answer, arrived and was accepted. */
 data class SendStarted(val send: SendId, val load: LoadReport?) : GatewayEvent
 
-/** A send is over. No further event names it. */
-data class SendEnded(val send: SendId, val outcome: SendOutcome, val load: LoadReport?) :
-    GatewayEvent
+/** A send is over, after [events] events of a stream. No further event names it. */
+data class SendEnded(
+    val send: SendId,
+    val outcome: SendOutcome,
+    val load: LoadReport?,
+    val events: Int = 0,
+) : GatewayEvent
 
 /** No byte of a started or awaited answer arrived for [quietMs]. */
 data class SendQuiet(val send: SendId, val quietMs: Long) : GatewayEvent
@@ -81,8 +85,14 @@
     val load: LoadReport?,
 ) : GatewayEvent
 
-/** Backend servers from which bytes arrived since the last report. */
-data class ServersHeard(val servers: Set<BackendServerId>) : GatewayEvent
+/** Backend servers from which bytes arrived since the last report, and the pace of their streams. */
+data class ServersHeard(
+    val servers: Set<BackendServerId>,
+    val gaps: Map<BackendServerId, EventGaps> = emptyMap(),
+) : GatewayEvent
+
+/** Times between events of streams: their number and their sum in milliseconds. */
+data class EventGaps(val count: Int, val totalMs: Double)
 
 /** The settings file was read again; null when it was not valid and the former settings stay. */
 data class SettingsRead(val settings: ReloadedSettings?, val problem: String?) : GatewayEvent
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
@@ -33,15 +33,21 @@
     @SerialName("b") val inFlight: Int,
     @SerialName("c") val pendingPromptTokens: Long,
     @SerialName("d") val recentPromptTokens: Long = 0,
+    /** Time between two events of a stream, as the sender sees it; 0 when it has no stream there. */
+    @SerialName("e") val eventGapMs: Float = 0f,
 )
 
-/** What a region has of a service. [waitMs] is the expected wait of a call that is placed best. */
+/**
+ * What a region has of a service. [waitMs] is the expected wait of a call that is placed well, [eventGapMs] the time
+ * between two events of its answer.
+ */
 @Serializable
 data class ServiceLoad(
     @SerialName("a") val service: ServiceId,
     @SerialName("b") val places: Int,
     @SerialName("c") val inUse: Int,
     @SerialName("d") val waitMs: Long,
+    @SerialName("e") val eventGapMs: Float = 0f,
 )
 
 /** A shared part that was sent to a server. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
@@ -55,6 +55,13 @@
 /** What other VMs must learn at once: their directories and relays depend on it. */
 private data class PeerState(val isReady: Boolean = false, val isDraining: Boolean = false)
 
+/** Datagrams to one kind of peers, all sent at the same time, so that each receives everything that was noted. */
+private class Round(var intervalMs: Long) {
+    var sentMs = Long.MIN_VALUE / 2
+
+    fun isDue(nowMs: Long) = nowMs - sentMs >= intervalMs
+}
+
 /** Exchanges datagrams and keeps the table of peers. */
 class PeerSystem(private val self: PeerIdentity, private val placement: PlacementPolicy) :
     GatewaySystem {
@@ -63,8 +70,8 @@
     private var told = PeerState()
     private var scannedMs = Long.MIN_VALUE / 2
     private var chosenMs = Long.MIN_VALUE / 2
-    private var nearIntervalMs = NEAR_INTERVAL_MS
-    private var farIntervalMs = FAR_INTERVAL_MS
+    private val near = Round(NEAR_INTERVAL_MS)
+    private val far = Round(FAR_INTERVAL_MS)
 
     override fun run(world: GatewayWorld, tick: GatewayTick) {
         if (world.process.startedMs == null) world.process.startedMs = tick.nowMs
@@ -93,10 +100,10 @@
             world.peers[vm]?.let { tick.nowMs - it.heardMs < SILENT_MS } == true
         }
         world.process.knownVms = links.size
-        val near = world.peers.count { isNear(it) }
-        val far = world.peers.count { !isNear(it) && isLinked(it) }
-        nearIntervalMs = maxOf(NEAR_INTERVAL_MS, near * MS_PER_S / MOST_NEAR_PER_S)
-        farIntervalMs = maxOf(FAR_INTERVAL_MS, far * MS_PER_S / MOST_FAR_PER_S)
+        val nearPeers = world.peers.count { isNear(it) }
+        val farPeers = world.peers.count { !isNear(it) && isLinked(it) }
+        near.intervalMs = maxOf(NEAR_INTERVAL_MS, nearPeers * MS_PER_S / MOST_NEAR_PER_S)
+        far.intervalMs = maxOf(FAR_INTERVAL_MS, farPeers * MS_PER_S / MOST_FAR_PER_S)
     }
 
     private fun isNear(peer: Peer) = peer.identity.region == self.region
@@ -104,7 +111,7 @@
     /** Whether datagrams go to [peer] regularly. */
     private fun isLinked(peer: Peer) = isNear(peer) || peer.isLinkWanted || peer.vm in links.chosen
 
-    private fun intervalMs(peer: Peer) = if (isNear(peer)) nearIntervalMs else farIntervalMs
+    private fun intervalMs(peer: Peer) = if (isNear(peer)) near.intervalMs else far.intervalMs
 
     private fun receive(world: GatewayWorld, tick: GatewayTick, message: GossipMessage) {
         val from = message.from
@@ -178,25 +185,32 @@
     }
 
     private fun send(world: GatewayWorld, tick: GatewayTick, isUrgent: Boolean) {
-        val near by lazy(LazyThreadSafetyMode.NONE) { message(world, tick, isNear = true) }
-        val far by lazy(LazyThreadSafetyMode.NONE) { message(world, tick, isNear = false) }
-        var isNearSent = false
-        for (peer in world.peers) {
-            if (!isLinked(peer)) continue
-            if (!isUrgent && tick.nowMs - peer.sentMs < intervalMs(peer)) continue
-            peer.sentMs = tick.nowMs
-            val isNear = isNear(peer)
-            val base = if (isNear) near else far
-            val echoed = base.copy(
+        if (isUrgent || near.isDue(tick.nowMs)) {
+            sendRound(tick, near, world.peers.filter { isNear(it) }, message(world, tick, true))
+            world.recentlyCached.clear()
+        }
+        if (isUrgent || far.isDue(tick.nowMs)) {
+            val linked = world.peers.filter { !isNear(it) && isLinked(it) }
+            if (linked.isNotEmpty()) sendRound(tick, far, linked, message(world, tick, false))
+        }
+        greet(world, tick) { message(world, tick, isNear = false).copy(isLinkWanted = true) }
+    }
+
+    private fun sendRound(
+        tick: GatewayTick,
+        round: Round,
+        peers: List<Peer>,
+        message: GossipMessage,
+    ) {
+        round.sentMs = tick.nowMs
+        for (peer in peers) {
+            val echoed = message.copy(
                 echoMs = peer.heardSentMs,
                 echoHeldMs = tick.nowMs - peer.heardMs,
                 isLinkWanted = peer.vm in links.chosen,
             )
             tick.give(SendGossip(peer.identity.gossip, echoed))
-            isNearSent = isNearSent || isNear
         }
-        greet(world, tick) { far.copy(isLinkWanted = true) }
-        if (isNearSent) world.recentlyCached.clear()
     }
 
     /** Sends to seeds and to VMs that others named, until they answer. */
@@ -206,11 +220,12 @@
         greeted.keys.retainAll(unknown)
         val isStarting = tick.nowMs - (world.process.startedMs ?: tick.nowMs) < STARTING_MS
         val intervalMs = if (isStarting) GREETING_INTERVAL_MS else FAR_INTERVAL_MS
-        for (address in unknown) {
-            val sentMs = greeted[address]
-            if (sentMs != null && tick.nowMs - sentMs < intervalMs) continue
+        val due = unknown.filter { tick.nowMs - (greeted[it] ?: (tick.nowMs - intervalMs)) >= intervalMs }
+        if (due.isEmpty()) return
+        val greeting = message()
+        for (address in due) {
             greeted[address] = tick.nowMs
-            tick.give(SendGossip(address, message()))
+            tick.give(SendGossip(address, greeting))
         }
     }
 
@@ -223,14 +238,14 @@
             isDraining = world.process.isDraining,
             isReady = world.process.isReady,
             revision = view?.revision ?: 0,
-            shares = if (isNear) shares(world) else emptyList(),
+            shares = if (isNear) shares(world, tick) else emptyList(),
             services = if (isNear) emptyList() else services(world, tick),
             cached = if (isNear) world.recentlyCached.takeLast(MOST_PARTS) else emptyList(),
             others = others.map { PeerAddress(it.vm, it.identity.gossip, it.identity.region) },
         )
     }
 
-    private fun shares(world: GatewayWorld): List<ServerShare> =
+    private fun shares(world: GatewayWorld, tick: GatewayTick): List<ServerShare> =
         world.backends.filter { it.inFlight > 0 || it.recentPromptTokens >= 1 }
             .map {
                 ServerShare(
@@ -238,6 +253,7 @@
                     inFlight = it.inFlight,
                     pendingPromptTokens = it.pendingPromptTokens,
                     recentPromptTokens = it.recentPromptTokens.toLong(),
+                    eventGapMs = it.pace.ownGapMs(tick.nowMs).toFloat(),
                 )
             }
 
@@ -248,6 +264,7 @@
 
     private fun sumShares(world: GatewayWorld) {
         for (backend in world.backends) {
+            backend.pace.forgetPeers()
             backend.peerInFlight = 0
             backend.peerPendingTokens = 0
             backend.peerRecentTokens = 0
@@ -258,6 +275,7 @@
                 backend.peerInFlight += share.inFlight
                 backend.peerPendingTokens += share.pendingPromptTokens
                 backend.peerRecentTokens += share.recentPromptTokens
+                backend.pace.noteOfPeer(share.eventGapMs.toDouble())
             }
         }
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -10,11 +10,14 @@
 
 /** Where a call should go. */
 sealed interface Choice {
-    /** A server of this region; [waitMs] is the expected time to its first event. */
-    data class Here(val backend: Backend, val waitMs: Double) : Choice
+    /**
+     * A server of this region; [waitMs] is the expected time to its first event, [answerCostMs] what the time of the
+     * rest of the answer weighs against it.
+     */
+    data class Here(val backend: Backend, val waitMs: Double, val answerCostMs: Double) : Choice
 
     /** A peer in another region. */
-    data class There(val peer: Peer, val waitMs: Double) : Choice
+    data class There(val peer: Peer, val waitMs: Double, val answerCostMs: Double) : Choice
 
     /** No place at the moment. [retryAfterMs] says when one is expected. */
     data class Nowhere(val reason: CallRefusal, val retryAfterMs: Long) : Choice
@@ -34,12 +37,12 @@
         val here = chooseHere(world, call, nowMs, random, ::isUsable)
         if (call.spec.origin is CallOrigin.Peer) return here ?: orElse(world, call, nowMs, random)
         // No other region can be better by the margin.
-        if (here != null && here.waitMs <= REGION_MARGIN_MS) return here
+        if (here != null && costMs(here) <= REGION_MARGIN_MS) return here
         val there = chooseThere(world, call, nowMs, random)
         return when {
             here == null && there == null -> orElse(world, call, nowMs, random)
             here == null -> checkNotNull(there)
-            there == null || here.waitMs <= there.waitMs + REGION_MARGIN_MS -> here
+            there == null || costMs(here) <= costMs(there) + REGION_MARGIN_MS -> here
             else -> there
         }
     }
@@ -49,16 +52,39 @@
             it.record.service == service && isUsable(world, it, nowMs)
         }
         val state = world.service(service)
-        val waits = usable.map { expectedMs(it, state, TYPICAL_PROMPT_TOKENS, isEngine(world, it)) }
+        val typical = usable
+            .map { expectedMs(it, state, TYPICAL_PROMPT_TOKENS, isEngine(world, it)) to it }
+            .sortedBy { it.first }
+            .getOrNull(usable.size / TYPICAL_WAIT_PART)
         return ServiceLoad(
             service = service,
             places = usable.sumOf { it.record.slots },
             inUse = usable.sumOf { it.load },
-            waitMs = waits.sorted().getOrNull(waits.size / TYPICAL_WAIT_PART)?.toLong()
-                ?: NO_WAIT_KNOWN_MS,
+            waitMs = typical?.first?.toLong() ?: NO_WAIT_KNOWN_MS,
+            eventGapMs = typical?.second?.pace?.gapMs(nowMs)?.toFloat() ?: 0f,
         )
     }
 
+    private fun costMs(choice: Choice.Here) = choice.waitMs + choice.answerCostMs
+
+    private fun costMs(choice: Choice.There) = choice.waitMs + choice.answerCostMs
+
+    /**
+     * What the time for the events after the first one weighs. It counts little while the answer can be finished, and
+     * in full where it comes close to the caller's time limit, since most of a long answer is lost then.
+     */
+    private fun answerCostMs(
+        call: Call,
+        state: ServiceState,
+        eventGapMs: Double,
+        nowMs: Long,
+    ): Double {
+        val tokens = call.spec.prompt?.outputTokens ?: return 0.0
+        val answerMs = state.answers.expectedEvents(tokens) * eventGapMs
+        val beyondMs = answerMs - call.remainingMs(nowMs) * SAFE_SHARE
+        return answerMs * ANSWER_WEIGHT + beyondMs.coerceAtLeast(0.0)
+    }
+
     /** A server that is leaving, when no other can be had. */
     private fun orElse(world: GatewayWorld, call: Call, nowMs: Long, random: Random): Choice =
         chooseHere(world, call, nowMs, random, ::isLastResort) ?: nowhere(world, call, nowMs)
@@ -87,12 +113,15 @@
         var best: Backend? = null
         var bestCost = Double.MAX_VALUE
         var bestWait = 0.0
+        var bestAnswer = 0.0
         for (backend in candidates(usable, order, random)) {
             val tokens = uncachedTokens(call.spec.prompt, backend)
             val wait = expectedMs(backend, state, tokens, call.spec.prompt != null)
             var cost = wait + random.nextDouble() * TIE_SPREAD_MS
             cost += backend.failureShare * failureCostMs(call)
             call.spec.prompt?.let { cost += interferenceMs(backend, it, tokens, state) }
+            val answer = answerCostMs(call, state, backend.pace.gapMs(nowMs), nowMs)
+            cost += answer
             if (backend.missingSinceMs != null) cost += MISSING_COST_MS
             if (nowMs < backend.coldUntilMs) cost += COLD_COST_MS
             cost -= cachedShare(shared, backend, preferred) * state.msPerPromptToken * CACHE_WEIGHT
@@ -100,9 +129,10 @@
                 best = backend
                 bestCost = cost
                 bestWait = wait
+                bestAnswer = answer
             }
         }
-        return Choice.Here(checkNotNull(best), bestWait)
+        return Choice.Here(checkNotNull(best), bestWait, bestAnswer)
     }
 
     /**
@@ -168,8 +198,10 @@
             val crowding = relayed.toDouble() / load.places
             val wait = newest.roundTripMs + load.waitMs + coldPromptMs(world, call) +
                 (1 + load.waitMs) * crowding + random.nextDouble() * REGION_SPREAD_MS
-            if (best == null || wait < best.waitMs) {
-                best = Choice.There(peers[random.nextInt(peers.size)], wait)
+            val gapMs = load.eventGapMs.toDouble()
+            val answer = answerCostMs(call, world.service(call.service), gapMs, nowMs)
+            if (best == null || wait + answer < costMs(best)) {
+                best = Choice.There(peers[random.nextInt(peers.size)], wait, answer)
             }
         }
         return best
@@ -261,6 +293,12 @@
         /** Order of magnitude of a batch step. */
         private const val MS_PER_OUTPUT_TOKEN = 8.0
 
+        /** Weight of the time that an answer takes after its first event, while it ends well within its limit. */
+        private const val ANSWER_WEIGHT = 0.1
+
+        /** Part of the time left that an expected answer may take: estimates of its length are often far off. */
+        private const val SAFE_SHARE = 0.5
+
         /** Equal servers are told apart at random, by less than the shortest prompt takes. */
         private const val TIE_SPREAD_MS = 4.0
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -88,6 +88,10 @@
         if (call == null) return
         call.current = null
         logEnd(tick, call, send, event.outcome)
+        if (event.outcome is SendOutcome.Answered && call.arrivals == 0) {
+            val expectedTokens = call.spec.prompt?.outputTokens ?: 0
+            world.service(call.service).answers.note(expectedTokens, event.events)
+        }
         when (val outcome = event.outcome) {
             is SendOutcome.Answered -> answered(world, tick, call, send, outcome.status)
             is SendOutcome.NotRun -> notRun(world, tick, call, send, outcome)
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerSystem.kt
@@ -27,6 +27,7 @@
     override fun run(world: GatewayWorld, tick: GatewayTick) {
         tick.each<ServersHeard> { heard ->
             heard.servers.forEach { world.backends[it]?.heardMs = tick.nowMs }
+            heard.gaps.forEach { (id, gaps) -> world.backends[id]?.pace?.note(gaps, tick.nowMs) }
         }
         tick.each<HealthRead> { health(world, tick, it) }
         if (tick.nowMs - scannedMs >= SCAN_INTERVAL_MS) {
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -40,6 +40,7 @@
 import org.pomeloladder.gateway.DropConnections
 import org.pomeloladder.gateway.EndStream
 import org.pomeloladder.gateway.EntryView
+import org.pomeloladder.gateway.EventGaps
 import org.pomeloladder.gateway.FetchView
 import org.pomeloladder.gateway.GatewayCommand
 import org.pomeloladder.gateway.GatewayEvent
@@ -92,6 +93,7 @@
     private val carriers = HashMap<SendId, ServerConnection>()
     private val connections = LinkedHashSet<CallerConnection>()
     private val heardServers = HashSet<BackendServerId>()
+    private val gaps = HashMap<BackendServerId, EventGaps>()
     private val gossip = GossipChannel(loop, addresses.gossip, ::gossiped, onBadMessage)
     private val listeners = ArrayList<Channel>()
     private lateinit var events: EventSinkOf<GatewayEvent>
@@ -299,6 +301,13 @@
         if (target is SendTarget.Server) heardServers += target.id
     }
 
+    override fun paced(target: SendTarget, gapNanos: Long) {
+        if (target !is SendTarget.Server) return
+        val before = gaps[target.id] ?: EventGaps(0, 0.0)
+        val totalMs = before.totalMs + gapNanos.toDouble() / NANOS_PER_MS
+        gaps[target.id] = EventGaps(before.count + 1, totalMs)
+    }
+
     override fun started(send: ActiveSend, load: LoadReport?) =
         events.post(SendStarted(send.id, load))
 
@@ -311,7 +320,7 @@
         sends.remove(send.id)
         carriers.remove(send.id)
         if (connection != null) pool.keep(connection)
-        events.post(SendEnded(send.id, outcome, load))
+        events.post(SendEnded(send.id, outcome, load, send.events))
     }
 
     override fun closed(connection: ServerConnection) = pool.closed(connection)
@@ -362,8 +371,9 @@
     private fun sweep() {
         val nowNanos = System.nanoTime()
         if (heardServers.isNotEmpty()) {
-            events.post(ServersHeard(heardServers.toSet()))
+            events.post(ServersHeard(heardServers.toSet(), gaps.toMap()))
             heardServers.clear()
+            gaps.clear()
         }
         for (send in sends.values) {
             val quietMs = (nowNanos - send.quietSinceNanos) / NANOS_PER_MS
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -36,6 +36,10 @@
 ) {
     var quietSinceNanos = System.nanoTime()
     var isPassedOn = false
+
+    /** Events passed on, and when the last of them was. */
+    var events = 0
+    var eventNanos = 0L
     val splitter = EventSplitter()
     val body = ByteArrayOutputStream()
 }
@@ -48,6 +52,9 @@
 
     fun started(send: ActiveSend, load: LoadReport?)
 
+    /** An event came [gapNanos] after the one before it. */
+    fun paced(target: SendTarget, gapNanos: Long)
+
     /** [connection] is null when it cannot carry another request. */
     fun ended(
         send: ActiveSend,
@@ -208,10 +215,15 @@
     private fun pass(active: ActiveSend, read: AnswerHead, event: StreamEvent): Boolean {
         val headers = checkNotNull(response).headers()
         if (!active.exchange.pass(event, read, headers)) return false
-        if (!active.isPassedOn) {
+        val nowNanos = System.nanoTime()
+        if (active.isPassedOn) {
+            gate.paced(target, nowNanos - active.eventNanos)
+        } else {
             active.isPassedOn = true
             gate.started(active, read.load)
         }
+        active.events++
+        active.eventNanos = nowNanos
         return true
     }
 
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
@@ -106,4 +106,38 @@
 
         expectThat(answers.toSet()).isEqualTo(setOf("m2"))
     }
+
+    @Test
+    fun `an answer that would not end in time goes where streams are seen to be quick`() {
+        val engines = listOf(engine("slow"), engine("quick"))
+        gateway.publish(1, catalog(brief), *engines.toTypedArray())
+        val chat = Prompt(listOf(PromptPart(PartId(900), 600)), 600, 400)
+        val first = gateway.call(brief, chat).second.only<StartSend>()
+        gateway.tick(SendStarted(first.send, null))
+        gateway.tick(SendEnded(first.send, SendOutcome.Answered(200), null, events = 50))
+        val gaps = mapOf(
+            engines[0].id to EventGaps(20, 20 * 60.0),
+            engines[1].id to EventGaps(20, 20 * 30.0),
+        )
+        gateway.tick(ServersHeard(gaps.keys, gaps))
+        val answers = List(6) { gateway.call(brief, chat).second.only<StartSend>().server }
+
+        expectThat(answers.toSet()).isEqualTo(setOf("quick"))
+    }
+
+    @Test
+    fun `a long answer goes to a region whose engines are quicker by more than the way there`() {
+        gateway.publish(1, catalog(brief), engine("m1"))
+        val chat = Prompt(listOf(PromptPart(PartId(900), 600)), 600, 400)
+        val first = gateway.call(brief, chat).second.only<StartSend>()
+        gateway.tick(SendStarted(first.send, null))
+        gateway.tick(SendEnded(first.send, SendOutcome.Answered(200), null, events = 50))
+        val gaps = mapOf(BackendServerId("m1") to EventGaps(20, 20 * 90.0))
+        gateway.tick(ServersHeard(gaps.keys, gaps))
+        val idle = ServiceLoad(MODEL, places = 64, inUse = 9, waitMs = 20, eventGapMs = 30f)
+        gateway.hear(identity("p", SOUTH)) { it.copy(services = listOf(idle)) }
+
+        expectThat(gateway.call(brief, chat).second.only<StartSend>().target)
+            .isA<SendTarget.Peer>()
+    }
 }
