--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -11,13 +11,13 @@
 /** Where a call should go. */
 sealed interface Choice {
     /**
-     * A server of this region; [waitMs] is the expected time to its first event, [answerCostMs] what the time of the
-     * rest of the answer weighs against it.
+     * A server of this region; [waitMs] is the expected time to its first event. [costMs] adds what the time of the rest
+     * of the answer and the delay of other calls weigh against it.
      */
-    data class Here(val backend: Backend, val waitMs: Double, val answerCostMs: Double) : Choice
+    data class Here(val backend: Backend, val waitMs: Double, val costMs: Double) : Choice
 
     /** A peer in another region. */
-    data class There(val peer: Peer, val waitMs: Double, val answerCostMs: Double) : Choice
+    data class There(val peer: Peer, val waitMs: Double, val costMs: Double) : Choice
 
     /** No place at the moment. [retryAfterMs] says when one is expected. */
     data class Nowhere(val reason: CallRefusal, val retryAfterMs: Long) : Choice
@@ -37,12 +37,12 @@
         val here = chooseHere(world, call, nowMs, random, ::isUsable)
         if (call.spec.origin is CallOrigin.Peer) return here ?: orElse(world, call, nowMs, random)
         // No other region can be better by the margin.
-        if (here != null && costMs(here) <= REGION_MARGIN_MS) return here
+        if (here != null && here.costMs <= REGION_MARGIN_MS) return here
         val there = chooseThere(world, call, nowMs, random)
         return when {
             here == null && there == null -> orElse(world, call, nowMs, random)
             here == null -> checkNotNull(there)
-            there == null || costMs(here) <= costMs(there) + REGION_MARGIN_MS -> here
+            there == null || here.costMs <= there.costMs + REGION_MARGIN_MS -> here
             else -> there
         }
     }
@@ -65,10 +65,6 @@
         )
     }
 
-    private fun costMs(choice: Choice.Here) = choice.waitMs + choice.answerCostMs
-
-    private fun costMs(choice: Choice.There) = choice.waitMs + choice.answerCostMs
-
     /**
      * What the time for the events after the first one weighs. It counts little while the answer can be finished, and
      * in full where it comes close to the caller's time limit, since most of a long answer is lost then.
@@ -113,15 +109,16 @@
         var best: Backend? = null
         var bestCost = Double.MAX_VALUE
         var bestWait = 0.0
-        var bestAnswer = 0.0
+        var bestBeside = 0.0
         for (backend in candidates(usable, order, random)) {
             val tokens = uncachedTokens(call.spec.prompt, backend)
             val wait = expectedMs(backend, state, tokens, call.spec.prompt != null)
             var cost = wait + random.nextDouble() * TIE_SPREAD_MS
             cost += backend.failureShare * failureCostMs(call)
-            call.spec.prompt?.let { cost += interferenceMs(backend, it, tokens, state) }
             val answer = answerCostMs(call, state, backend.pace.gapMs(nowMs), nowMs)
-            cost += answer
+            val interference =
+                call.spec.prompt?.let { interferenceMs(backend, it, tokens, state) } ?: 0.0
+            cost += answer + interference
             if (backend.missingSinceMs != null) cost += MISSING_COST_MS
             if (nowMs < backend.coldUntilMs) cost += COLD_COST_MS
             cost -= cachedShare(shared, backend, preferred) * state.msPerPromptToken * CACHE_WEIGHT
@@ -129,10 +126,10 @@
                 best = backend
                 bestCost = cost
                 bestWait = wait
-                bestAnswer = answer
+                bestBeside = answer + interference
             }
         }
-        return Choice.Here(checkNotNull(best), bestWait, bestAnswer)
+        return Choice.Here(checkNotNull(best), bestWait, bestWait + bestBeside)
     }
 
     /**
@@ -169,6 +166,14 @@
         return INTERFERENCE_WEIGHT * (heldUpMs + holdsUpMs)
     }
 
+    /** What the prompt of [call] does to the answers of an engine with the mean load of another region. */
+    private fun interferenceThereMs(world: GatewayWorld, call: Call, load: ServiceLoad): Double {
+        val tokens = call.spec.prompt?.promptTokens ?: return 0.0
+        val slots = world.catalog?.service(call.service)?.engine?.slots ?: return 0.0
+        val running = slots.toDouble() * load.inUse / load.places
+        return INTERFERENCE_WEIGHT * tokens * world.service(call.service).msPerPromptToken * running
+    }
+
     /** Shared tokens that [backend] has, or would get if every process chose the same server for them. */
     private fun cachedShare(
         shared: List<PromptPart>,
@@ -199,9 +204,11 @@
             val wait = newest.roundTripMs + load.waitMs + coldPromptMs(world, call) +
                 (1 + load.waitMs) * crowding + random.nextDouble() * REGION_SPREAD_MS
             val gapMs = load.eventGapMs.toDouble()
-            val answer = answerCostMs(call, world.service(call.service), gapMs, nowMs)
-            if (best == null || wait + answer < costMs(best)) {
-                best = Choice.There(peers[random.nextInt(peers.size)], wait, answer)
+            val state = world.service(call.service)
+            val cost = wait + answerCostMs(call, state, gapMs, nowMs) +
+                interferenceThereMs(world, call, load)
+            if (best == null || cost < best.costMs) {
+                best = Choice.There(peers[random.nextInt(peers.size)], wait, cost)
             }
         }
         return best
@@ -294,7 +301,7 @@
         private const val MS_PER_OUTPUT_TOKEN = 8.0
 
         /** Weight of the time that an answer takes after its first event, while it ends well within its limit. */
-        private const val ANSWER_WEIGHT = 0.1
+        private const val ANSWER_WEIGHT = 0.2
 
         /** Part of the time left that an expected answer may take: estimates of its length are often far off. */
         private const val SAFE_SHARE = 0.5
