--- a/bench/src/test/kotlin/org/pomeloladder/bench/SoakCallers.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/SoakCallers.kt
@@ -123,16 +123,18 @@
             val vm = cluster.vms[random.nextInt(cluster.vms.size)]
             val address = vm.process.callers
             try {
-                SoakConnection(address.host, address.port).use { connection ->
-                    var isKept = true
-                    while (isRunning && isKept) isKept = call(connection, random)
-                }
+                SoakConnection(address.host, address.port).use { useUntilItEnds(it, random) }
             } catch (_: IOException) {
                 Thread.sleep(RECONNECT_MS)
             }
         }
     }
 
+    private fun useUntilItEnds(connection: SoakConnection, random: Random) {
+        var isKept = true
+        while (isRunning && isKept) isKept = call(connection, random)
+    }
+
     private fun call(connection: SoakConnection, random: Random): Boolean {
         val route = ROUTES[random.nextInt(ROUTES.size)]
         val id = "$route-${nextId.incrementAndGet()}"
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GossipChannel.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GossipChannel.kt
@@ -63,7 +63,9 @@
 
     private fun decode(sender: InetSocketAddress, bytes: ByteArray): GossipReceived {
         val start = Short.SIZE_BYTES
+        if (bytes.size < start) throw SerializationException("datagram of ${bytes.size} bytes")
         val end = start + Unpooled.wrappedBuffer(bytes).readUnsignedShort()
+        if (end > bytes.size) throw SerializationException("datagram ends before byte $end")
         val echo = cbor.decodeFromByteArray(
             GossipEcho.serializer(),
             bytes.copyOfRange(start, end),
@@ -86,9 +88,6 @@
                 rejected(e.message.orEmpty())
             } catch (e: IllegalArgumentException) {
                 rejected(e.message.orEmpty())
-            } catch (e: IndexOutOfBoundsException) {
-                // A datagram that is shorter than its parts state.
-                rejected(e.message.orEmpty())
             }
         }
 
