--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallCosts.kt
@@ -0,0 +1,146 @@
+/*
+ * What placing a call at a server costs its caller and the other calls there, in milliseconds of waiting. Placement
+ * compares these figures; none of them is a promise.
+ */
+package org.pomeloladder.gateway
+
+/** Parts of the cost of a place. */
+internal object CallCosts {
+    /** Prompt of the summary that other regions compare with. */
+    const val TYPICAL_PROMPT_TOKENS = 1_000
+
+    /** A delay of the whole answer weighs less than one of its first event. */
+    private const val INTERFERENCE_WEIGHT = 0.08
+
+    /** Time for which recent prompt tokens stand. */
+    private const val RECENT_PROMPTS_S = 2.0
+    private const val MS_PER_S = 1_000.0
+
+    /** Order of magnitude of a batch step. */
+    private const val MS_PER_OUTPUT_TOKEN = 8.0
+
+    /** Weight of the time that an answer takes after its first event, while it ends well within its limit. */
+    private const val ANSWER_WEIGHT = 0.2
+
+    /** Part of the time left that an expected answer may take: estimates of its length are often far off. */
+    private const val SAFE_SHARE = 0.5
+
+    /** Weight of the rendezvous choice against a server that is known to have the parts. */
+    private const val PREFERRED_SHARE = 0.8
+
+    /** Reading shared parts again also holds up the other calls of a batch, beside the call itself. */
+    private const val CACHE_WEIGHT = 1.5
+
+    /** Weight of failures for calls that cannot be repeated. */
+    private const val UNSAFE_FAILURE_WEIGHT = 4.0
+
+    /** What a full batch adds for all of its calls: steps take about three times as long as in an empty one. */
+    private const val FULL_BATCH_MS = 400.0
+
+    /** Part of a plain call's time that each busy place adds. */
+    private const val PLAIN_CROWDING = 0.2
+
+    /** Used until calls were seen to end. */
+    private const val LEAST_CALL_MS = 20.0
+
+    /**
+     * What the time for the events after the first one weighs. It counts little while the answer can be finished, and
+     * in full where it comes close to the caller's time limit, since most of a long answer is lost then.
+     */
+    fun answerMs(call: Call, state: ServiceState, eventGapMs: Double, nowMs: Long): Double {
+        val tokens = call.spec.prompt?.outputTokens ?: return 0.0
+        val answerMs = state.answers.expectedEvents(tokens) * eventGapMs
+        val beyondMs = answerMs - call.remainingMs(nowMs) * SAFE_SHARE
+        return answerMs * ANSWER_WEIGHT + beyondMs.coerceAtLeast(0.0)
+    }
+
+    /**
+     * What this call and the others of [backend] do to each other: a long answer is held up by the prompts that arrive
+     * while it is made, and a prompt holds up every running answer.
+     */
+    fun interferenceMs(
+        backend: Backend,
+        prompt: Prompt,
+        uncachedTokens: Int,
+        state: ServiceState,
+    ): Double {
+        val recentTokens = backend.recentPromptTokens + backend.peerRecentTokens
+        val promptMsPerS = recentTokens * state.msPerPromptToken / RECENT_PROMPTS_S
+        val promptShare = (promptMsPerS / MS_PER_S).coerceAtMost(1.0)
+        val heldUpMs = promptShare * prompt.outputTokens * MS_PER_OUTPUT_TOKEN
+        val holdsUpMs = uncachedTokens * state.msPerPromptToken * backend.load
+        return INTERFERENCE_WEIGHT * (heldUpMs + holdsUpMs)
+    }
+
+    /** What the prompt of [call] does to the answers of an engine with the mean load of another region. */
+    fun interferenceThereMs(world: GatewayWorld, call: Call, load: ServiceLoad): Double {
+        val tokens = call.spec.prompt?.promptTokens ?: return 0.0
+        val slots = world.catalog?.service(call.service)?.engine?.slots ?: return 0.0
+        val running = slots.toDouble() * load.inUse / load.places
+        return INTERFERENCE_WEIGHT * tokens * world.service(call.service).msPerPromptToken * running
+    }
+
+    /**
+     * What is gained by the shared tokens that [backend] has, or would get if every process chose the same server for
+     * them.
+     */
+    fun cachedMs(
+        shared: List<PromptPart>,
+        backend: Backend,
+        preferred: Backend?,
+        state: ServiceState,
+    ): Double {
+        val cached = backend.cache.cachedTokens(shared).toDouble()
+        val counted = if (backend === preferred) {
+            maxOf(cached, shared.sumOf { it.tokens } * PREFERRED_SHARE)
+        } else {
+            cached
+        }
+        return counted * state.msPerPromptToken * CACHE_WEIGHT
+    }
+
+    /** What the prompt takes beyond the typical one of the summary, since another region's caches may lack all of it. */
+    fun coldPromptMs(world: GatewayWorld, call: Call): Double {
+        val tokens = call.spec.prompt?.promptTokens ?: return 0.0
+        val beyond = (tokens - TYPICAL_PROMPT_TOKENS).coerceAtLeast(0)
+        return beyond * world.service(call.service).msPerPromptToken
+    }
+
+    /** Prompt tokens that [backend] has to read. */
+    fun uncachedTokens(prompt: Prompt?, backend: Backend): Int {
+        if (prompt == null) return 0
+        return prompt.promptTokens - backend.cache.cachedTokens(prompt.parts)
+    }
+
+    /** Expected time in milliseconds until [backend] gives its first event for a prompt of [tokens] uncached tokens. */
+    fun firstEventMs(
+        backend: Backend,
+        state: ServiceState,
+        tokens: Int,
+        isEngine: Boolean,
+    ): Double {
+        val slots = backend.record.slots.coerceAtLeast(1)
+        val load = maxOf(backend.load, reportedLoad(backend))
+        val slowdown = backend.reported?.slowdown ?: 1.0
+        val waiting = (load + 1 - slots).coerceAtLeast(0)
+        val callMs = state.callMs.coerceAtLeast(LEAST_CALL_MS)
+        val queueMs = waiting * callMs / slots
+        if (!isEngine) {
+            val crowdMs = callMs * load / slots * PLAIN_CROWDING
+            return slowdown * (callMs + queueMs + crowdMs)
+        }
+        val ahead = backend.pendingPromptTokens + backend.peerPendingTokens
+        val promptMs = (tokens + ahead) * state.msPerPromptToken
+        val busy = load.toDouble() / slots
+        return slowdown * (promptMs + FULL_BATCH_MS * busy * busy + queueMs)
+    }
+
+    private fun reportedLoad(backend: Backend): Int {
+        val report = backend.reported ?: return 0
+        return if (report.waiting > 0) report.running + report.waiting else 0
+    }
+
+    /** What a failure of [call] at a server costs. */
+    fun failureMs(call: Call): Double =
+        call.route.objectiveMs * if (call.route.isRepeatable) 1.0 else UNSAFE_FAILURE_WEIGHT
+}
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/EventPaceTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/EventPaceTest.kt
@@ -34,7 +34,7 @@
     }
 
     @Test
-    fun `the expected length of an answer follows what answers had, since estimates are in tokens`() {
+    fun `the expected length follows earlier answers, since estimates are in tokens`() {
         val length = AnswerLength()
         repeat(100) { length.note(expectedTokens = 320, seenEvents = 40) }
 
