--- a/standins/src/main/kotlin/org/pomeloladder/standins/RouteServerStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/RouteServerStandIn.kt
@@ -33,11 +33,6 @@
     /** How often each request id was run. */
     val runs = ConcurrentHashMap<String, AtomicInteger>()
 
-    /** When the last run began, as [System.nanoTime] gives it. */
-    @Volatile
-    var lastRunNanos = Long.MIN_VALUE
-        private set
-
     @Volatile
     var mood = ServerMood.SOUND
 
@@ -65,7 +60,6 @@
 
     private fun run(request: Request): Response {
         val id = request.header(REQUEST_ID).orEmpty()
-        lastRunNanos = System.nanoTime()
         runs.computeIfAbsent(id) { AtomicInteger() }.incrementAndGet()
         Thread.sleep(workMs)
         if (mood == ServerMood.FAILING) {
