Measure the pace of streams on arrival and the delay of both threads

Three histograms: time between events as they arrive, delay of the traffic thread's regular task (ten times a second while there are calls), and the wait of that report for the control thread. Line 411 says when the first event came, how many followed, the longest gap between two, and the size of the prompt. No decision changes.

--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Journal.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Journal.kt
@@ -15,10 +15,13 @@
     fun observe(latency: Latency, durationMs: Long) = Unit
 }
 
-/** Latencies of callers' requests, measured from arrival at the ingress. */
+/** Latencies of callers' requests, measured from arrival at the ingress, and what this process adds to them. */
 enum class Latency(val metricName: String, val help: String) {
     FIRST_TOKEN("pomeloladder_first_token_seconds", "Time from arrival to the first token"),
     REQUEST("pomeloladder_request_seconds", "Time from arrival to the end of the answer"),
+    EVENT_GAP("pomeloladder_event_gap_seconds", "Time between events of a stream on arrival"),
+    TRAFFIC_DELAY("pomeloladder_traffic_delay_seconds", "Delay of tasks of the traffic thread"),
+    CONTROL_DELAY("pomeloladder_control_delay_seconds", "Wait of events for the control thread"),
 }
 
 /** Discards everything. */
--- a/gateway/src/main/kotlin/org/pomeloladder/entry/Gateway.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/entry/Gateway.kt
@@ -15,6 +15,7 @@
 import org.pomeloladder.configuration.RegionId
 import org.pomeloladder.configuration.VmId
 import org.pomeloladder.decisions.Incarnation
+import org.pomeloladder.decisions.Latency
 import org.pomeloladder.decisions.LogEvent
 import org.pomeloladder.decisions.SchedulerOf
 import org.pomeloladder.gateway.EntryView
@@ -94,6 +95,7 @@
         wire = deployment.wire,
         onStop = stopped::countDown,
         onBadMessage = { journal.log(LogEvent.PEER_REFUSED, mapOf("reason" to it)) },
+        meter = { journal.observe(Latency.EVENT_GAP, it) },
     )
     private val control = ControlThread<GatewayWorld, GatewayEvent, GatewayCommand>(
         scheduler = SchedulerOf(
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -130,6 +130,9 @@
 
     /** Whether the first event was passed on. */
     var isStarted = false
+
+    /** Time from the send to its first event; null before it. */
+    var firstEventMs: Long? = null
     var expectedFirstMs = 0.0
 
     /** Prompt tokens that the server reads until this send's first event. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
@@ -30,12 +30,16 @@
 /** The first event of a stream, or the head of another answer, arrived and was accepted. */
 data class SendStarted(val send: SendId, val load: LoadReport?) : GatewayEvent
 
-/** A send is over, after [events] events of a stream. No further event names it. */
+/**
+ * A send is over, after [events] events of a stream with at most [longestGapMs] between two of them. No further event
+ * names it.
+ */
 data class SendEnded(
     val send: SendId,
     val outcome: SendOutcome,
     val load: LoadReport?,
     val events: Int = 0,
+    val longestGapMs: Long = 0,
 ) : GatewayEvent
 
 /** No byte of a started or awaited answer arrived for [quietMs]. */
@@ -95,6 +99,9 @@
     val gaps: Map<BackendServerId, EventGaps> = emptyMap(),
 ) : GatewayEvent
 
+/** The traffic thread ran a regular task at [atMs] of the process's steady clock, [lateMs] after it was due. */
+data class TrafficTimed(val atMs: Long, val lateMs: Long) : GatewayEvent
+
 /** Times between events of streams: their number and their sum in milliseconds. */
 data class EventGaps(val count: Int, val totalMs: Double)
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
@@ -10,6 +10,7 @@
 ): List<GatewaySystem> {
     val placer = CallPlacer(placement)
     return listOf(
+        DelaySystem(),
         SettingsSystem(),
         ViewSystem(),
         ServerSystem(),
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -28,6 +28,7 @@
             tick.journal.observe(Latency.FIRST_TOKEN, tick.nowMs - call.arrivedMs)
         }
         send.isStarted = true
+        send.firstEventMs = tick.nowMs - send.startedMs
         call.isStreamStarted = true
         call.mayHaveRun = true
         val backend = backendOf(world, send) ?: return
@@ -87,7 +88,7 @@
         }
         if (call == null) return
         call.current = null
-        logEnd(tick, call, send, event.outcome)
+        logEnd(tick, call, send, event.outcome, event)
         if (event.outcome is SendOutcome.Answered && call.arrivals == 0) {
             val expectedTokens = call.spec.prompt?.outputTokens ?: 0
             world.service(call.service).answers.note(expectedTokens, event.events)
@@ -230,13 +231,23 @@
     private fun backendOf(world: GatewayWorld, send: Send): Backend? =
         (send.place as? SendPlace.AtServer)?.let { world.backends[it.server] }
 
-    private fun logEnd(tick: GatewayTick, call: Call, send: Send, outcome: Any) {
+    private fun logEnd(
+        tick: GatewayTick,
+        call: Call,
+        send: Send,
+        outcome: Any,
+        ended: SendEnded? = null,
+    ) {
         val details = mapOf(
             "request" to call.spec.requestId,
             "send" to send.id,
             "to" to send.place,
             "outcome" to outcome,
             "tookMs" to tick.nowMs - send.startedMs,
+            "firstEventMs" to send.firstEventMs,
+            "events" to ended?.events,
+            "longestGapMs" to ended?.longestGapMs,
+            "promptTokens" to call.spec.prompt?.promptTokens,
         )
         tick.journal.log(LogEvent.SEND_ENDED, details)
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -61,10 +61,12 @@
 import org.pomeloladder.gateway.ServersHeard
 import org.pomeloladder.gateway.StartSend
 import org.pomeloladder.gateway.StopGateway
+import org.pomeloladder.gateway.TrafficTimed
 import org.pomeloladder.gateway.UnsentReason
 import org.pomeloladder.gateway.ViewRead
 import org.pomeloladder.gateway.ViewSource
 import org.pomeloladder.runtime.EventSinkOf
+import org.pomeloladder.runtime.RealMonotonicClock
 
 /** Addresses of this process's own sockets. */
 data class TrafficAddresses(
@@ -74,6 +76,11 @@
     val views: Address,
 )
 
+/** Receives the time between two events of a stream. Called on the traffic thread for each event. */
+fun interface StreamMeter {
+    fun observe(gapMs: Long)
+}
+
 /** Traffic of one process. */
 internal class GatewayTraffic(
     private val addresses: TrafficAddresses,
@@ -81,6 +88,7 @@
     private val wire: Wire,
     private val onStop: () -> Unit,
     private val onBadMessage: (String) -> Unit,
+    private val meter: StreamMeter = StreamMeter { },
 ) : CallerGate,
     ServerGate {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -97,6 +105,7 @@
     private val listeners = ArrayList<Channel>()
     private lateinit var events: EventSinkOf<GatewayEvent>
     private var nextCall = 0L
+    private var sweptMs = RealMonotonicClock.nowMs()
     private val cbor = Cbor
 
     /** Plain calls on the same thread. */
@@ -303,6 +312,7 @@
     override fun paced(target: SendTarget, gapNanos: Long) {
         if (target !is SendTarget.Server) return
         val before = gaps[target.id] ?: EventGaps(0, 0.0)
+        meter.observe(gapNanos / NANOS_PER_MS)
         val totalMs = before.totalMs + gapNanos.toDouble() / NANOS_PER_MS
         gaps[target.id] = EventGaps(before.count + 1, totalMs)
     }
@@ -319,7 +329,8 @@
         sends.remove(send.id)
         carriers.remove(send.id)
         if (connection != null) pool.keep(connection)
-        events.post(SendEnded(send.id, outcome, load, send.events))
+        val longestGapMs = send.longestGapNanos / NANOS_PER_MS
+        events.post(SendEnded(send.id, outcome, load, send.events, longestGapMs))
     }
 
     override fun closed(connection: ServerConnection) = pool.closed(connection)
@@ -368,6 +379,7 @@
 
     private fun sweep() {
         val nowNanos = System.nanoTime()
+        time(RealMonotonicClock.nowMs())
         if (heardServers.isNotEmpty()) {
             events.post(ServersHeard(heardServers.toSet(), gaps.toMap()))
             heardServers.clear()
@@ -381,6 +393,13 @@
         pool.closeStale()
     }
 
+    /** Reports delays while there is traffic. An idle process has no reason to wake its control thread. */
+    private fun time(nowMs: Long) {
+        val lateMs = (nowMs - sweptMs - SWEEP_MS).coerceAtLeast(0)
+        sweptMs = nowMs
+        if (exchanges.isNotEmpty()) events.post(TrafficTimed(nowMs, lateMs))
+    }
+
     private companion object {
         /** Interval of the look at idle connections and quiet sends. */
         const val SWEEP_MS = 100L
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -40,6 +40,7 @@
     /** Events passed on, and when the last of them was. */
     var events = 0
     var eventNanos = 0L
+    var longestGapNanos = 0L
     val splitter = EventSplitter()
     val body = ByteArrayOutputStream()
 }
@@ -217,7 +218,9 @@
         if (!active.exchange.pass(event, read, headers)) return false
         val nowNanos = System.nanoTime()
         if (active.isPassedOn) {
-            gate.paced(target, nowNanos - active.eventNanos)
+            val gapNanos = nowNanos - active.eventNanos
+            active.longestGapNanos = maxOf(active.longestGapNanos, gapNanos)
+            gate.paced(target, gapNanos)
         } else {
             active.isPassedOn = true
             gate.started(active, read.load)
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestGateway.kt
@@ -11,6 +11,7 @@
 import org.pomeloladder.configuration.ServiceId
 import org.pomeloladder.configuration.VmId
 import org.pomeloladder.decisions.Incarnation
+import org.pomeloladder.decisions.Journal
 import org.pomeloladder.decisions.NoJournal
 import org.pomeloladder.decisions.RequestId
 import org.pomeloladder.decisions.SchedulerOf
@@ -88,7 +89,7 @@
 )
 
 /** One process under test in the region north. */
-internal class TestGateway(seed: Int = 1) {
+internal class TestGateway(seed: Int = 1, journal: Journal = NoJournal) {
     val world = GatewayWorld(
         self = identity("self", NORTH),
         regions = mapOf(
@@ -109,7 +110,7 @@
     )
     var nowMs = 1_000L
     private var nextCall = 0L
-    private val scheduler = SchedulerOf(world, gatewaySystems(world.self), Random(seed), NoJournal)
+    private val scheduler = SchedulerOf(world, gatewaySystems(world.self), Random(seed), journal)
 
     /** Runs one tick with [events] after [afterMs] and returns its commands. */
     fun tick(vararg events: GatewayEvent, afterMs: Long = 1): List<GatewayCommand> {
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/TestTraffic.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/TestTraffic.kt
@@ -25,6 +25,7 @@
 import org.pomeloladder.gateway.SendTarget
 import org.pomeloladder.gateway.ServersHeard
 import org.pomeloladder.gateway.StartSend
+import org.pomeloladder.gateway.TrafficTimed
 
 private const val LOOPBACK = "127.0.0.1"
 
@@ -99,17 +100,20 @@
         return id
     }
 
-    /** The next event of type [E]; reports of quiet sends and heard servers are left out. */
+    /** The next event of type [E]; regular reports are left out. */
     inline fun <reified E : GatewayEvent> await(): E = next() as E
 
     fun next(): GatewayEvent {
         while (true) {
             val event = events.poll(PATIENCE_MS, TimeUnit.MILLISECONDS)
             checkNotNull(event) { "no event within $PATIENCE_MS ms" }
-            if (event !is SendQuiet && event !is ServersHeard) return event
+            if (!isRegularReport(event)) return event
         }
     }
 
+    private fun isRegularReport(event: GatewayEvent) =
+        event is SendQuiet || event is ServersHeard || event is TrafficTimed
+
     /** Sends a request over [socket] and returns its call. */
     fun request(socket: Socket, id: String, body: String = ""): CallId {
         val head = "POST /x HTTP/1.1\r\nhost: h\r\nid: $id\r\n" +
