Break a stream off in place of an answer that was kept from an earlier run

What callers saw: nothing on the wire that says that their stream is over. A first run of a repeatable stream ends with a server error, which is kept; a second run starts the stream and breaks. The kept error was then delivered as a whole answer into the open chunked one: the codec refuses to write that, and the caller waits until its own time limit (or, where the connection is not kept alive, sees it closed). Cause: CallPlacer.fail looked at the kept answer before it looked at whether the stream had started. The same can happen at the traffic thread when the first event crosses the command on its way. Change: a started stream is broken off; both places check. Ruled out: writing the error as a last event, which would join two runs. Evidence: found by reading the ways in which a call under work ends, not in a log. On the code before, the two tests fail: "Expect that [DeliverAnswer(call=1, send=1)]: is empty" and "SocketTimeoutException: Read timed out". With the change SendSystemTest, CallSystemTest, ShutdownSystemTest, ViewSystemTest and GatewayTrafficTest pass on this commit (43 tests).

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -41,7 +41,10 @@
         }
     }
 
-    /** Ends [call] with the best answer there is; [reason] when no server gave one. */
+    /**
+     * Ends [call] with the best answer there is; [reason] when no server gave one. A started stream is broken off, since a
+     * whole answer cannot follow its events.
+     */
     fun fail(
         world: GatewayWorld,
         tick: GatewayTick,
@@ -51,7 +54,7 @@
     ) {
         world.calls.remove(call.id)
         val held = call.heldAnswer
-        if (held != null) {
+        if (held != null && !call.isStreamStarted) {
             tick.journal.count(Counter.REQUESTS, "held-answer")
             tick.give(DeliverAnswer(call.id, held))
             return
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -299,6 +299,10 @@
     private fun deliver(command: DeliverAnswer) {
         val exchange = exchanges[command.call] ?: return
         val answer = exchange.held[command.send] ?: return
+        if (exchange.isStreamStarted) {
+            // The first event of a stream can cross the command.
+            return exchange.sink.refuse(CallRefusal.STREAM_BROKEN, null)
+        }
         exchange.sink.answer(answer.head.status, answer.headers, answer.body)
     }
 
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
@@ -106,6 +106,19 @@
         expectThat(after.only<RefuseCall>().reason).isEqualTo(CallRefusal.STREAM_BROKEN)
     }
 
+    // Guards against a server error of the first run that was written into the stream of the second one.
+    @Test
+    fun `a failure kept from a first run is not passed on after events of a second one`() {
+        val first = gateway.call(brief).second.only<StartSend>()
+        val second = gateway.tick(SendEnded(first.send, SendOutcome.Answered(500), null))
+            .only<StartSend>()
+        gateway.tick(SendStarted(second.send, null))
+        val after = gateway.tick(broken(second))
+
+        expectThat(after.all<DeliverAnswer>()).isEmpty()
+        expectThat(after.only<RefuseCall>().reason).isEqualTo(CallRefusal.STREAM_BROKEN)
+    }
+
     @Test
     fun `a silent server loses a repeatable call, and its run is stopped first`() {
         val (_, commands) = gateway.call(brief)
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
@@ -165,6 +165,26 @@
         expectThat(body.toString()).endsWith("0\r\n\r\n")
     }
 
+    // Guards against a caller that waits until its time limit behind an answer that cannot be written.
+    @Test
+    fun `a whole answer that crosses the start of a stream breaks the stream off`() {
+        val caller = traffic.caller().apply { soTimeout = PATIENCE_MS }
+        val call = traffic.request(caller, "r1")
+        val failed = traffic.send(call, server, isStream = true)
+        server.accept().apply { readHead() }.write(
+            "HTTP/1.1 500 Error\r\nid: r1\r\nsigned: 1\r\nconnection: close\r\n" +
+                "content-length: 1\r\n\r\nx",
+        )
+        traffic.await<SendEnded>()
+        traffic.send(call, server, isStream = true)
+        server.accept().apply { readHead() }.write(streamHead("r1") + chunk("id: 1\ndata: a\n\n"))
+        traffic.await<SendStarted>()
+        traffic.execute(DeliverAnswer(call, failed))
+
+        val answer = String(caller.getInputStream().readAllBytes())
+        expectThat(answer).endsWith("data: a\n\n\r\n")
+    }
+
     @Test
     fun `a refused connection counts as unsent`() {
         val caller = traffic.caller()
@@ -188,6 +208,9 @@
     }
 
     private companion object {
+        /** Long enough for a busy machine; reads end as soon as the other side closes. */
+        const val PATIENCE_MS = 10_000
+
         /** Another address of loopback, since all VMs use the same ports for peers. */
         const val VIEWS_HOST = "127.0.0.2"
 
