Never break a started stream off because of an estimate

What callers saw: connections closed in the middle of a 200 although another server could have gone on with the answer. Cause: CallPlacer.place ended a call as OVERLOADED when the wait that was expected at the best server was longer than the time left. For a call that has not begun that spares its caller the wait; for a started stream it is a certain loss in place of a probable one, and the estimate is often off by a factor of two and more. On the code before, the test fails: "Expect that [RefuseCall(call=1, reason=STREAM_BROKEN, retryAfterMs=1500)]: is empty". Change: the estimate ends calls without a started stream only. A second test holds that these are still refused at once. Ruled out: the same for calls that ran but did not start, since their callers may ask again at once after the answer that they get now.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -29,7 +29,8 @@
             is Choice.Nowhere ->
                 fail(world, tick, call, choice.reason, choice.retryAfterMs)
             is Choice.Here -> when {
-                choice.waitMs > remainingMs ->
+                // An estimate spares a caller the wait; one that has events already is better off with a late end.
+                choice.waitMs > remainingMs && !call.isStreamStarted ->
                     fail(world, tick, call, CallRefusal.OVERLOADED, retryAfterMs(choice.waitMs))
                 isPaid(world, tick, call) -> sendHere(world, tick, call, choice)
                 else -> fail(world, tick, call, CallRefusal.NO_BUDGET, RETRY_AFTER_MS)
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
@@ -26,6 +26,7 @@
         maxSends = 1
         timeoutMs = 12_000
     }
+    private val prompt = Prompt(listOf(PromptPart(PartId(1), 1_000)), 1_000, 50)
     private val catalog = catalog(lookup, payment, brief, chat)
 
     init {
@@ -106,6 +107,26 @@
         expectThat(after.only<RefuseCall>().reason).isEqualTo(CallRefusal.STREAM_BROKEN)
     }
 
+    // Guards against a started stream that is broken off because its next server is expected to be late.
+    @Test
+    fun `a broken stream goes on at a server that is expected to be late`() {
+        val first = gateway.call(brief, prompt).second.only<StartSend>()
+        gateway.tick(SendStarted(first.send, null))
+        gateway.world.backends.forEach { it.pendingPromptTokens += LATE_TOKENS }
+        val after = gateway.tick(broken(first))
+
+        expectThat(after.all<RefuseCall>()).isEmpty()
+        expectThat(after.only<StartSend>().server).isNotEqualTo(first.server)
+    }
+
+    @Test
+    fun `a call that no server has run is refused at once when all are expected to be late`() {
+        gateway.world.backends.forEach { it.pendingPromptTokens += LATE_TOKENS }
+        val (_, commands) = gateway.call(brief, prompt)
+
+        expectThat(commands.only<RefuseCall>().reason).isEqualTo(CallRefusal.OVERLOADED)
+    }
+
     // Guards against a server error of the first run that was written into the stream of the second one.
     @Test
     fun `a failure kept from a first run is not passed on after events of a second one`() {
@@ -164,4 +185,9 @@
         expectThat(late.all<DeliverAnswer>()).isEmpty()
         expectThat(gateway.world.calls[call]).isNull()
     }
+
+    private companion object {
+        /** Prompts of other calls that take longer than any route of the test allows. */
+        const val LATE_TOKENS = 1_000_000L
+    }
 }
