Stop a quiet run only when another place for its call is sure

What callers saw: connections closed in the middle of a 200 while their servers were at work (LOST). Cause: SendSystem.quiet stopped the run of a repeatable call and looked for another place afterwards. Without a place, a budget or time for it the call was ended. Besides, the decision crossed what arrived meanwhile: an answer that came between the report of silence and the stop was thrown away, and the second server was asked to go on after its last event, with nothing left to send. Change: the place is chosen and its retry taken first. The traffic thread opens the connection, stops the old run only if it is still as quiet, and only then writes the request, so two servers do not work on it. Otherwise the old run stays and the budget is given back. The control thread learns of the exchange from an event of its own, with whether the stream had started. Ruled out: stopping the old run after the new one answers, since two servers would work on one request.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -16,6 +16,9 @@
 /** Opening a connection to another region takes one round trip between regions. */
 private const val PEER_CONNECT_TIMEOUT_MS = 700L
 
+/** A send counts as slow after this many times the time that was expected; estimates are often off by less. */
+internal const val SLOW_FACTOR = 4.0
+
 /** Places calls. */
 class CallPlacer(private val placement: PlacementPolicy) {
     /** Sends [call] to the best place, or ends it. */
@@ -32,16 +35,49 @@
                 // An estimate spares a caller the wait; one that has events already is better off with a late end.
                 choice.waitMs > remainingMs && !call.isStreamStarted ->
                     fail(world, tick, call, CallRefusal.OVERLOADED, retryAfterMs(choice.waitMs))
-                isPaid(world, tick, call) -> sendHere(world, tick, call, choice)
+                isPaid(world, tick, call) -> sendHere(world, tick, call, choice, null)
                 else -> fail(world, tick, call, CallRefusal.NO_BUDGET, RETRY_AFTER_MS)
             }
             is Choice.There -> when {
-                isPaid(world, tick, call) -> sendThere(world, tick, call, choice)
+                isPaid(world, tick, call) -> sendThere(world, tick, call, choice, null)
                 else -> fail(world, tick, call, CallRefusal.NO_BUDGET, RETRY_AFTER_MS)
             }
         }
     }
 
+    /**
+     * Sends [call] to another place than [server], whose send [replaced] gives no sign of life. That send goes on until a
+     * connection to the other place is open, and for good when there is no other place, no budget for it, or no time: its
+     * answer may still come. While the server itself is alive, the other place must be expected to answer well within the
+     * time left.
+     */
+    fun move(
+        world: GatewayWorld,
+        tick: GatewayTick,
+        call: Call,
+        server: Backend,
+        replaced: Replaced,
+        isServerAlive: Boolean,
+    ) {
+        val remainingMs = call.remainingMs(tick.nowMs)
+        if (remainingMs < LEAST_SEND_MS || call.runs + 1 >= call.mostRuns) return
+        call.avoided += server.id
+        val choice = placement.choose(world, call, tick.nowMs, tick.random)
+        call.avoided -= server.id
+        val waitMs = when (choice) {
+            is Choice.Nowhere -> return
+            is Choice.Here -> choice.waitMs
+            is Choice.There -> choice.waitMs
+        }
+        if (isServerAlive && waitMs * SLOW_FACTOR > remainingMs) return
+        if (!isPaid(world, tick, call, call.arrivals + 1)) return
+        when (choice) {
+            is Choice.Here -> sendHere(world, tick, call, choice, replaced)
+            is Choice.There -> sendThere(world, tick, call, choice, replaced)
+            is Choice.Nowhere -> Unit
+        }
+    }
+
     /**
      * Ends [call] with the best answer there is; [reason] when no server gave one. A started stream is broken off, since a
      * whole answer cannot follow its events.
@@ -98,16 +134,27 @@
             "usable=$isUsable"
     }
 
-    /** Whether a further arrival is within the retry budget. The first one is always free. */
-    private fun isPaid(world: GatewayWorld, tick: GatewayTick, call: Call): Boolean {
-        if (call.arrivals == 0) return true
+    /** Whether an arrival after [arrivals] others is within the retry budget. The first one is always free. */
+    private fun isPaid(
+        world: GatewayWorld,
+        tick: GatewayTick,
+        call: Call,
+        arrivals: Int = call.arrivals,
+    ): Boolean {
+        if (arrivals == 0) return true
         val vms = maxOf(world.process.knownVms + 1, world.seeds.size)
         val isPaid = world.service(call.service).budget.take(tick.nowMs, world.bounds, vms)
         tick.journal.count(Counter.RETRIES, if (isPaid) "sent" else "no-budget")
         return isPaid
     }
 
-    private fun sendHere(world: GatewayWorld, tick: GatewayTick, call: Call, choice: Choice.Here) {
+    private fun sendHere(
+        world: GatewayWorld,
+        tick: GatewayTick,
+        call: Call,
+        choice: Choice.Here,
+        replaced: Replaced?,
+    ) {
         val backend = choice.backend
         val service = world.catalog?.service(call.service)
         val send = newSend(world, tick, call, SendPlace.AtServer(backend.id))
@@ -122,7 +169,7 @@
             maxConnections = (service?.maxConnections ?: 1) / region,
             isUnsafe = !call.route.isRepeatable,
         )
-        give(tick, call, send, target, CONNECT_TIMEOUT_MS)
+        give(tick, call, send, target, CONNECT_TIMEOUT_MS, replaced)
     }
 
     private fun chargePrompt(
@@ -150,6 +197,7 @@
         tick: GatewayTick,
         call: Call,
         choice: Choice.There,
+        replaced: Replaced?,
     ) {
         val peer = choice.peer
         peer.relayedSince++
@@ -160,7 +208,7 @@
             address = peer.identity.relay,
             catalogVersion = world.catalog?.version ?: 0,
         )
-        give(tick, call, send, target, PEER_CONNECT_TIMEOUT_MS)
+        give(tick, call, send, target, PEER_CONNECT_TIMEOUT_MS, replaced)
     }
 
     private fun newSend(
@@ -171,7 +219,6 @@
     ): Send {
         val send = Send(SendId(++world.process.nextSend), call.id, place, tick.nowMs)
         world.sends[send.id] = send
-        call.current = send.id
         return send
     }
 
@@ -181,7 +228,9 @@
         send: Send,
         target: SendTarget,
         connectTimeoutMs: Long,
+        replaced: Replaced?,
     ) {
+        if (replaced == null) call.current = send.id else call.next = send.id
         val remainingMs = call.remainingMs(tick.nowMs)
         tick.give(
             StartSend(
@@ -192,6 +241,7 @@
                 priority = call.route.priority,
                 isStream = call.route.kind == RouteKind.STREAMING,
                 connectTimeoutMs = minOf(connectTimeoutMs, remainingMs),
+                replaces = replaced,
             ),
         )
         val details = mapOf(
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSystem.kt
@@ -136,10 +136,22 @@
     }
 }
 
-/** Stops the current send of [call] and takes it off its server. */
+/** Stops the sends of [call] and takes them off their servers. */
 internal fun stopSend(world: GatewayWorld, tick: GatewayTick, call: Call) {
+    stopNext(world, tick, call)
     val id = call.current ?: return
     call.current = null
+    stop(world, tick, id)
+}
+
+/** Stops the send that was to take the place of the current one of [call]. */
+internal fun stopNext(world: GatewayWorld, tick: GatewayTick, call: Call) {
+    val id = call.next ?: return
+    call.next = null
+    stop(world, tick, id)
+}
+
+private fun stop(world: GatewayWorld, tick: GatewayTick, id: SendId) {
     val send = world.sends.remove(id) ?: return
     release(world, send)
     tick.give(CancelSend(id))
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -105,6 +105,9 @@
     /** Arrivals at servers, whether run or not. */
     var arrivals = 0
     var current: SendId? = null
+
+    /** A send that takes the place of the current one as soon as its connection is open. */
+    var next: SendId? = null
     var isStreamStarted = false
     var mayHaveRun = false
     val avoided = HashSet<BackendServerId>()
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
@@ -27,7 +27,13 @@
         SendTarget
 }
 
-/** Sends the bytes of [call]. [resumeAfter] is the last event that its caller has, null at the start of a stream. */
+/**
+ * A send whose place another one takes. It is stopped when a connection for the other one is open, unless it has ended or
+ * a byte of it arrived within [quietMs].
+ */
+data class Replaced(val send: SendId, val quietMs: Long)
+
+/** Sends the bytes of [call], in place of the send [replaces] when there is one. */
 data class StartSend(
     val send: SendId,
     val call: CallId,
@@ -36,6 +42,7 @@
     val priority: Int,
     val isStream: Boolean,
     val connectTimeoutMs: Long,
+    val replaces: Replaced? = null,
 ) : GatewayCommand
 
 /** Stops a send; its server sees the connection close. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
@@ -25,6 +25,9 @@
 
     /** This process holds as many connections to the server as its share allows. */
     NO_CONNECTION_LEFT,
+
+    /** The send whose place it was to take goes on or has ended. */
+    NOT_NEEDED,
 }
 
 /** The first event of a stream, or the head of another answer, arrived and was accepted. */
@@ -45,6 +48,17 @@
 /** No byte of a started or awaited answer arrived for [quietMs]. */
 data class SendQuiet(val send: SendId, val quietMs: Long) : GatewayEvent
 
+/**
+ * [send], quiet for [quietMs], was stopped and [by] has taken its place. [hasStarted] says whether the caller has events of
+ * it.
+ */
+data class SendReplaced(
+    val send: SendId,
+    val by: SendId,
+    val quietMs: Long,
+    val hasStarted: Boolean,
+) : GatewayEvent
+
 /** What a backend server says of its load. [slowdown] is 1 when work takes as long as usual. */
 data class LoadReport(val running: Int, val waiting: Int, val slots: Int, val slowdown: Double)
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RetryWindow.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RetryWindow.kt
@@ -27,6 +27,11 @@
         return true
     }
 
+    /** Gives the last extra arrival back, which was not sent. */
+    fun giveBack() {
+        extras.removeLastOrNull()
+    }
+
     private fun expire(beforeMs: Long) {
         while (calls.isNotEmpty() && calls.first() < beforeMs) calls.removeFirst()
         while (extras.isNotEmpty() && extras.first() < beforeMs) extras.removeFirst()
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -16,6 +16,7 @@
                 is SendUnsent -> unsent(world, tick, event)
                 is SendEnded -> end(world, tick, event)
                 is SendQuiet -> quiet(world, tick, event)
+                is SendReplaced -> replaced(world, tick, event)
                 else -> Unit
             }
         }
@@ -54,9 +55,13 @@
         release(world, send)
         if (event.reason == UnsentReason.CONNECT_FAILED) unreachable(world, tick, send)
         val call = world.calls[send.call] ?: return
-        avoid(call, send)
         tick.journal.count(Counter.RETRIES, event.reason.name.lowercase())
         logEnd(tick, call, send, event.reason)
+        if (event.reason != UnsentReason.NOT_NEEDED) avoid(call, send)
+        if (call.next == send.id) {
+            call.next = null
+            return world.service(call.service).budget.giveBack()
+        }
         placer.place(world, tick, call)
     }
 
@@ -87,6 +92,7 @@
             learnFailure(backend, event.outcome)
         }
         if (call == null) return
+        stopNext(world, tick, call)
         call.current = null
         logEnd(tick, call, send, event.outcome, event)
         if (event.outcome is SendOutcome.Answered && call.arrivals == 0) {
@@ -178,18 +184,29 @@
     private fun quiet(world: GatewayWorld, tick: GatewayTick, event: SendQuiet) {
         val send = world.sends[event.send] ?: return
         val call = world.calls[send.call] ?: return
+        if (call.current != send.id || call.next != null) return
         val backend = backendOf(world, send) ?: return
-        val patienceMs = when {
-            tick.nowMs - backend.heardMs < SILENT_SERVER_MS -> slowPatienceMs(call, send)
-            else -> SILENT_SERVER_MS
-        }
+        val isAlive = tick.nowMs - backend.heardMs < SILENT_SERVER_MS
+        val patienceMs = if (isAlive) slowPatienceMs(call, send) else SILENT_SERVER_MS
         if (event.quietMs < patienceMs) return
-        val isSilent = tick.nowMs - backend.heardMs >= SILENT_SERVER_MS
-        if (isSilent) suspect(tick, backend)
-        if (!call.route.isRepeatable || call.runs + 1 >= call.mostRuns) return
-        stopSend(world, tick, call)
+        if (!isAlive) suspect(tick, backend)
+        if (!call.route.isRepeatable) return
+        placer.move(world, tick, call, backend, Replaced(send.id, event.quietMs), isAlive)
+    }
+
+    private fun replaced(world: GatewayWorld, tick: GatewayTick, event: SendReplaced) {
+        val send = world.sends.remove(event.send) ?: return
+        release(world, send)
+        val call = world.calls[send.call] ?: return
+        call.current = event.by
+        call.next = null
+        call.arrivals++
+        call.runs++
+        call.mayHaveRun = true
+        if (event.hasStarted) call.isStreamStarted = true
+        avoid(call, send)
+        tick.journal.count(Counter.RETRIES, if (call.isStreamStarted) "resume" else "broken")
         logEnd(tick, call, send, "quiet for ${event.quietMs} ms")
-        broken(world, tick, call, send)
     }
 
     private fun suspect(tick: GatewayTick, backend: Backend) {
@@ -269,8 +286,5 @@
 
         /** A server at work sends something on one of its connections more often than this. */
         const val SILENT_SERVER_MS = 1_000L
-
-        /** A call that takes this many times what was expected is moved when it may be. */
-        const val SLOW_FACTOR = 4.0
     }
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -55,6 +55,7 @@
 import org.pomeloladder.gateway.SendId
 import org.pomeloladder.gateway.SendOutcome
 import org.pomeloladder.gateway.SendQuiet
+import org.pomeloladder.gateway.SendReplaced
 import org.pomeloladder.gateway.SendStarted
 import org.pomeloladder.gateway.SendTarget
 import org.pomeloladder.gateway.SendUnsent
@@ -245,6 +246,7 @@
             target = command.target,
             isStream = command.isStream,
             headers = headersFor(command, exchange),
+            replaces = command.replaces,
         )
         sends[send.id] = send
         pool.take(command.target, command.connectTimeoutMs) { connected(send, it) }
@@ -274,17 +276,30 @@
     private fun connected(send: ActiveSend, result: Connection) {
         val isWanted = sends[send.id] === send
         when (result) {
-            is Connection.Ready -> if (isWanted) {
+            is Connection.Ready -> if (isWanted && takePlace(send)) {
                 carriers[send.id] = result.connection
                 result.connection.start(send)
             } else {
                 pool.keep(result.connection)
+                unsent(send, isWanted, UnsentReason.NOT_NEEDED)
             }
             Connection.Failed -> unsent(send, isWanted, UnsentReason.CONNECT_FAILED)
             Connection.NoneLeft -> unsent(send, isWanted, UnsentReason.NO_CONNECTION_LEFT)
         }
     }
 
+    /** Stops the send whose place [send] takes. False when that one goes on or has ended. */
+    private fun takePlace(send: ActiveSend): Boolean {
+        val replaced = send.replaces ?: return true
+        val before = sends[replaced.send] ?: return false
+        val quietMs = before.quietMs(System.nanoTime())
+        if (quietMs < replaced.quietMs) return false
+        cancelSend(before.id)
+        val hasStarted = send.exchange.isStreamStarted
+        events.post(SendReplaced(before.id, send.id, quietMs, hasStarted))
+        return true
+    }
+
     private fun unsent(send: ActiveSend, isWanted: Boolean, reason: UnsentReason) {
         if (!isWanted) return
         sends.remove(send.id)
@@ -390,7 +405,7 @@
             gaps.clear()
         }
         for (send in sends.values) {
-            val quietMs = (nowNanos - send.quietSinceNanos) / NANOS_PER_MS
+            val quietMs = send.quietMs(nowNanos)
             if (quietMs >= QUIET_MS) events.post(SendQuiet(send.id, quietMs))
         }
         connections.toList().forEach { it.closeIfOverdue(nowNanos) }
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -22,10 +22,13 @@
 import org.pomeloladder.gateway.BreakReason
 import org.pomeloladder.gateway.LoadReport
 import org.pomeloladder.gateway.NotRunReason
+import org.pomeloladder.gateway.Replaced
 import org.pomeloladder.gateway.SendId
 import org.pomeloladder.gateway.SendOutcome
 import org.pomeloladder.gateway.SendTarget
 
+private const val NANOS_PER_MS = 1_000_000L
+
 /** A request on its way to a server. */
 internal class ActiveSend(
     val id: SendId,
@@ -33,6 +36,7 @@
     val target: SendTarget,
     val isStream: Boolean,
     val headers: HttpHeaders,
+    val replaces: Replaced? = null,
 ) {
     var quietSinceNanos = System.nanoTime()
     var isPassedOn = false
@@ -43,6 +47,8 @@
     var longestGapNanos = 0L
     val splitter = EventSplitter()
     val body = ByteArrayOutputStream()
+
+    fun quietMs(nowNanos: Long): Long = (nowNanos - quietSinceNanos) / NANOS_PER_MS
 }
 
 /** What a server connection reports. */
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
@@ -10,8 +10,10 @@
 import org.pomeloladder.gateway.DeliverAnswer
 import org.pomeloladder.gateway.EndStream
 import org.pomeloladder.gateway.FetchView
+import org.pomeloladder.gateway.Replaced
 import org.pomeloladder.gateway.SendEnded
 import org.pomeloladder.gateway.SendOutcome
+import org.pomeloladder.gateway.SendReplaced
 import org.pomeloladder.gateway.SendStarted
 import org.pomeloladder.gateway.SendUnsent
 import org.pomeloladder.gateway.UnsentReason
@@ -165,6 +167,40 @@
         expectThat(body.toString()).endsWith("0\r\n\r\n")
     }
 
+    @Test
+    fun `a quiet run is stopped before the request reaches the server that takes its place`() {
+        val caller = traffic.caller()
+        val call = traffic.request(caller, "r1")
+        val first = traffic.send(call, server, isStream = true)
+        val before = server.accept().apply { readHead() }
+        val second = traffic.send(call, server, isStream = true, Replaced(first, quietMs = 0))
+        val after = server.accept()
+
+        val replaced = traffic.await<SendReplaced>()
+        expectThat(replaced.send to replaced.by).isEqualTo(first to second)
+        expectThat(before.getInputStream().read()).isEqualTo(-1)
+        expectThat(after.readHead()).contains("id: r1")
+        caller.close()
+    }
+
+    // Guards against a run that is stopped just after its server answered.
+    @Test
+    fun `a run that is no longer quiet keeps its place`() {
+        val caller = traffic.caller()
+        val call = traffic.request(caller, "r1")
+        val first = traffic.send(call, server, isStream = true)
+        val connection = server.accept().apply { readHead() }
+        connection.write(streamHead("r1") + chunk("id: 1\ndata: a\n\n"))
+        traffic.await<SendStarted>()
+        val second = traffic.send(call, server, isStream = true, Replaced(first, quietMs = 60_000))
+        val unsent = traffic.await<SendUnsent>()
+        connection.write(chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n")
+
+        expectThat(unsent).isEqualTo(SendUnsent(second, UnsentReason.NOT_NEEDED))
+        expectThat(traffic.await<SendEnded>().outcome).isEqualTo(SendOutcome.Answered(200))
+        caller.close()
+    }
+
     // Guards against a caller that waits until its time limit behind an answer that cannot be written.
     @Test
     fun `a whole answer that crosses the start of a stream breaks the stream off`() {
