Ask a silent server for its health before its runs are moved

Cause: a server was taken for gone when the process heard nothing of it for a second. A process of a large fleet has a call or two at each server, and a server that reads prompts sends nothing for a second. Each such run was stopped and its prompt read again elsewhere, the idle connections were closed, and the server got nothing from that process for half a second. Change: after a second without a byte the server is asked for its health on a connection of its own, at most twice a second by each process. No answer means that it is gone, and its runs move at once. A check on a kept connection that the server closes is made again on a new one. Ruled out: no move at all (a server may be gone, or stuck behind a good health); what peers hear of the server (says nothing of the path from this VM, and datagrams come once a second there).

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -31,6 +31,10 @@
     var failureShare = 0.0
 
     var heardMs = 0L
+
+    /** When this process last asked for the server's health because it was silent, and when a check had no answer. */
+    var askedMs = Long.MIN_VALUE / 2
+    var unansweredMs = Long.MIN_VALUE / 2
     var unreachableUntilMs = 0L
     var connectFailures = 0
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -187,13 +187,26 @@
         if (call.current != send.id || call.next != null) return
         val backend = backendOf(world, send) ?: return
         val isAlive = tick.nowMs - backend.heardMs < SILENT_SERVER_MS
-        val patienceMs = if (isAlive) slowPatienceMs(call, send) else SILENT_SERVER_MS
+        val patienceMs = if (isAlive) slowPatienceMs(call, send, tick.nowMs) else SILENT_SERVER_MS
         if (event.quietMs < patienceMs) return
-        if (!isAlive) suspect(tick, backend)
+        if (!isAlive) {
+            if (backend.unansweredMs <= maxOf(backend.heardMs, send.startedMs)) {
+                return ask(world, tick, backend)
+            }
+            suspect(tick, backend)
+        }
         if (!call.route.isRepeatable) return
         placer.move(world, tick, call, backend, Replaced(send.id, event.quietMs), isAlive)
     }
 
+    /** Asks for the health of [backend], since one that reads long prompts is as silent as one that is gone. */
+    private fun ask(world: GatewayWorld, tick: GatewayTick, backend: Backend) {
+        if (tick.nowMs - backend.askedMs < ASK_INTERVAL_MS) return
+        val service = world.catalog?.service(backend.record.service) ?: return
+        backend.askedMs = tick.nowMs
+        tick.give(CheckHealth(backend.id, backend.record.address, service.healthPath))
+    }
+
     private fun replaced(world: GatewayWorld, tick: GatewayTick, event: SendReplaced) {
         val send = world.sends.remove(event.send) ?: return
         release(world, send)
@@ -217,9 +230,14 @@
         tick.journal.log(LogEvent.BACKEND_SILENT, details)
     }
 
-    private fun slowPatienceMs(call: Call, send: Send): Long {
-        val expected = (send.expectedFirstMs * SLOW_FACTOR).toLong()
-        return maxOf(call.route.objectiveMs, expected)
+    /**
+     * How long a server that is alive may be silent. Another one would read the prompt of [call] from its beginning, so a
+     * call with a prompt is moved only after a silence as long as the time that is left.
+     */
+    private fun slowPatienceMs(call: Call, send: Send, nowMs: Long): Long {
+        val expectedMs = (send.expectedFirstMs * SLOW_FACTOR).toLong()
+        val promptMs = if (call.spec.prompt == null) 0 else call.remainingMs(nowMs)
+        return maxOf(call.route.objectiveMs, expectedMs, promptMs)
     }
 
     private fun learnFailure(backend: Backend, outcome: SendOutcome) {
@@ -284,7 +302,10 @@
         const val FIRST_BACK_OFF_MS = 500L
         const val MOST_DOUBLINGS = 3
 
-        /** A server at work sends something on one of its connections more often than this. */
+        /** A server of which this process heard nothing for this long is asked whether it is there. */
         const val SILENT_SERVER_MS = 1_000L
+
+        /** Longer than a health check may take. */
+        const val ASK_INTERVAL_MS = 500L
     }
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerSystem.kt
@@ -39,7 +39,11 @@
 
     private fun health(world: GatewayWorld, tick: GatewayTick, read: HealthRead) {
         val backend = world.backends[read.server] ?: return
-        val coldForMs = read.coldForMs ?: return
+        val coldForMs = read.coldForMs
+        if (coldForMs == null) {
+            backend.unansweredMs = tick.nowMs
+            return
+        }
         backend.heardMs = tick.nowMs
         if (coldForMs > 0) backend.coldUntilMs = tick.nowMs + coldForMs
         if (read.isHealthy) {
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -356,8 +356,12 @@
 
     private fun gossiped(received: GossipReceived) = events.post(received)
 
-    private fun checkHealth(command: CheckHealth) {
+    private fun checkHealth(command: CheckHealth, isRepeated: Boolean = false) {
         fetcher.get(command.address, command.path, HEALTH_TIMEOUT_MS) { result ->
+            if (!isRepeated && result is Fetched.Failed && result.isClosed) {
+                // A server may drop a kept connection without notice; only a new one tells whether it is there.
+                return@get checkHealth(command, isRepeated = true)
+            }
             val health = (result as? Fetched.Answer)?.let { wire.readHealth(it.status, it.headers) }
             val event = HealthRead(
                 server = command.server,
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
@@ -4,12 +4,15 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.pomeloladder.configuration.Address
+import org.pomeloladder.configuration.BackendServerId
 import org.pomeloladder.gateway.BreakReason
 import org.pomeloladder.gateway.CallerLeft
 import org.pomeloladder.gateway.CancelSend
+import org.pomeloladder.gateway.CheckHealth
 import org.pomeloladder.gateway.DeliverAnswer
 import org.pomeloladder.gateway.EndStream
 import org.pomeloladder.gateway.FetchView
+import org.pomeloladder.gateway.HealthRead
 import org.pomeloladder.gateway.Replaced
 import org.pomeloladder.gateway.SendEnded
 import org.pomeloladder.gateway.SendOutcome
@@ -167,6 +170,18 @@
         expectThat(body.toString()).endsWith("0\r\n\r\n")
     }
 
+    // Guards against a live server that is taken for gone after it dropped a kept connection.
+    @Test
+    fun `a health check is made again when a server closes its connection in place of an answer`() {
+        val address = Address("127.0.0.1", server.port)
+        traffic.execute(CheckHealth(BackendServerId("s"), address, "/health"))
+        server.accept().apply { readHead() }.reset()
+        server.accept().apply { readHead() }
+            .write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+
+        expectThat(traffic.await<HealthRead>().isHealthy).isEqualTo(true)
+    }
+
     @Test
     fun `a quiet run is stopped before the request reaches the server that takes its place`() {
         val caller = traffic.caller()
