Resume a broken stream at its own server when there is no other

What callers saw: a stream broken off after a lost connection where a region has one server, though that server was there. Cause: a server whose run broke is avoided for the rest of the call, and a call without another place ended. Change: a started stream tries the places that it avoided once more before it is broken off, within attempts and budget. Ruled out: the same for calls that have not started, whose callers may ask again. Evidence: found by reading, not in a log. On the code before, the test fails (no StartSend, the stream is refused).

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -29,8 +29,10 @@
             return fail(world, tick, call, CallRefusal.OUTCOME_UNKNOWN)
         }
         when (val choice = placement.choose(world, call, tick.nowMs, tick.random)) {
-            is Choice.Nowhere ->
-                fail(world, tick, call, choice.reason, choice.retryAfterMs)
+            is Choice.Nowhere -> when {
+                call.isStreamStarted && !call.isSecondRound -> placeAgain(world, tick, call)
+                else -> fail(world, tick, call, choice.reason, choice.retryAfterMs)
+            }
             is Choice.Here -> when {
                 // An estimate spares a caller the wait; one that has events already is better off with a late end.
                 choice.waitMs > remainingMs && !call.isStreamStarted ->
@@ -45,6 +47,14 @@
         }
     }
 
+    /** Tries places where a started stream failed before, since its connection may have been all that broke. */
+    private fun placeAgain(world: GatewayWorld, tick: GatewayTick, call: Call) {
+        call.isSecondRound = true
+        call.avoided.clear()
+        call.avoidedPeers.clear()
+        place(world, tick, call)
+    }
+
     /**
      * Sends [call] to another place than [server], whose send [replaced] gives no sign of life. That send goes on until a
      * connection to the other place is open, and for good when there is no other place, no budget for it, or no time: its
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -117,6 +117,9 @@
     val avoided = HashSet<BackendServerId>()
     val avoidedPeers = HashSet<VmId>()
 
+    /** Whether places that failed before are tried again. */
+    var isSecondRound = false
+
     /** An answer of a server that is passed on when no better one can be had. */
     var heldAnswer: SendId? = null
 
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
@@ -121,6 +121,21 @@
         expectThat(after.only<StartSend>().server).isNotEqualTo(first.server)
     }
 
+    // Guards against a stream that is broken off after a reset connection where a region has one server.
+    @Test
+    fun `a broken stream goes on at its own server when there is no other`() {
+        val leaving = server("m2", MODEL) { it.copy(isDraining = true) }
+        gateway.publish(2, catalog, server("m1", MODEL), leaving)
+        gateway.nowMs += 3_000
+        val first = gateway.call(brief, prompt).second.only<StartSend>()
+        gateway.tick(SendStarted(first.send, null))
+        val second = gateway.tick(broken(first)).only<StartSend>()
+        val last = gateway.tick(SendUnsent(second.send, UnsentReason.CONNECT_FAILED))
+
+        expectThat(second.server).isEqualTo(first.server)
+        expectThat(last.only<RefuseCall>().reason).isEqualTo(CallRefusal.STREAM_BROKEN)
+    }
+
     @Test
     fun `a call that no server has run is refused at once when all are expected to be late`() {
         gateway.world.backends.forEach { it.pendingPromptTokens += LATE_TOKENS }
