Stop a process only after the answers that it is writing

What callers would see: an answer cut off at the end of a shutdown, when they read it more slowly than it was made. Cause: a call leaves the table when its answer is handed to its connection. ShutdownSystem then stopped the process, and the bytes that waited for the caller were discarded. Change: the traffic thread reports the stop when no end of an answer waits to be written, at the latest half a second before the grace period ends. Ruled out: keeping the call in its table until the answer is written, which would hold its server's count. Evidence: found by reading. On the code before, the test fails: the stop comes while 32 MB wait for a caller that reads nothing ("Expect that kotlin.Unit: is null").

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
@@ -91,5 +91,8 @@
 /** Publishes what traffic threads answer on their own. */
 data class PublishEntryView(val view: EntryView) : GatewayCommand
 
-/** Ends the process: all calls are over or the time for them is up. */
-data object StopGateway : GatewayCommand
+/**
+ * Ends the process: all calls are over or the time for them is up. Answers that are being written are finished when that
+ * takes no longer than [withinMs].
+ */
+data class StopGateway(val withinMs: Long) : GatewayCommand
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ShutdownSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ShutdownSystem.kt
@@ -12,6 +12,9 @@
  */
 internal const val STOP_RESERVE_MS = 1_000L
 
+/** Kept of it once all answers are written. */
+private const val CLOSE_RESERVE_MS = 500L
+
 /** Interval at which the end of the last call is looked for. */
 private const val CHECK_INTERVAL_MS = 50L
 
@@ -32,7 +35,8 @@
         val isTimeUp = elapsedMs >= world.bounds.shutdownGraceMs - STOP_RESERVE_MS
         if (isTimeUp || haveCallersMoved && world.calls.size == 0) {
             process.isStopped = true
-            tick.give(StopGateway)
+            val leftMs = world.bounds.shutdownGraceMs - CLOSE_RESERVE_MS - elapsedMs
+            tick.give(StopGateway(withinMs = leftMs.coerceAtLeast(0)))
         }
         tick.wakeAt(tick.nowMs + CHECK_INTERVAL_MS)
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/CallerConnection.kt
@@ -5,6 +5,7 @@
 package org.pomeloladder.traffic
 
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -63,6 +64,11 @@
     private var isClosing = false
     private var quietSinceNanos = System.nanoTime()
     private var isReading = false
+    private var written: ChannelFuture? = null
+
+    /** Whether the end of an answer waits for the other side to take its bytes. */
+    val isWriting: Boolean
+        get() = written?.isDone == false
 
     override fun channelActive(ctx: ChannelHandlerContext) {
         context = ctx
@@ -212,13 +218,14 @@
         val open = exchange
         exchange = null
         if (open != null) gate.close(open)
-        val written = context.writeAndFlush(last)
+        val writing = context.writeAndFlush(last)
+        written = writing
         quietSinceNanos = System.nanoTime()
         if (isKeptAlive) {
             next()
         } else {
             isClosing = true
-            written.addListener(ChannelFutureListener.CLOSE)
+            writing.addListener(ChannelFutureListener.CLOSE)
         }
     }
 
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -182,10 +182,18 @@
             is CheckHealth -> checkHealth(command)
             is DropConnections -> pool.drop(command.server)
             is PublishEntryView -> publish(command.view)
-            StopGateway -> onStop()
+            is StopGateway ->
+                stop(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(command.withinMs))
         }
     }
 
+    /** Reports the stop when no answer is being written any more, at the latest at [untilNanos]. */
+    private fun stop(untilNanos: Long) {
+        val isWriting = connections.any { it.isWriting }
+        if (!isWriting || System.nanoTime() >= untilNanos) return onStop()
+        loop.schedule({ stop(untilNanos) }, STOP_CHECK_MS, TimeUnit.MILLISECONDS)
+    }
+
     override fun open(request: ReadRequest, isRelay: Boolean, sink: AnswerSink): Exchange? {
         val headers = withoutConnectionFields(request.head.headers())
         val envelope = Relay.take(headers)
@@ -437,6 +445,7 @@
         const val VIEW_TIMEOUT_MS = 1_500L
         const val VIEW_PATH = "/view"
         const val CLOSE_MS = 100L
+        const val STOP_CHECK_MS = 10L
 
         /** Callers get a new directory answer before their idle connections are closed. */
         const val IDLE_CLOSE_AFTER_MS = 2_000L
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
@@ -19,12 +19,14 @@
 import org.pomeloladder.gateway.SendReplaced
 import org.pomeloladder.gateway.SendStarted
 import org.pomeloladder.gateway.SendUnsent
+import org.pomeloladder.gateway.StopGateway
 import org.pomeloladder.gateway.UnsentReason
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.endsWith
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 import strikt.assertions.startsWith
 
 class GatewayTrafficTest {
@@ -236,6 +238,40 @@
         expectThat(answer).endsWith("data: a\n\n\r\n")
     }
 
+    // Guards against an answer that is cut off because its process stopped while a slow caller read it.
+    @Test
+    fun `the process stops after the answers that are being written`() {
+        val caller = traffic.caller()
+        val call = traffic.request(caller, "r1")
+        val send = traffic.send(call, server)
+        val body = "x".repeat(LONG_BODY)
+        server.accept().apply { readHead() }.write(answer("r1", body))
+        traffic.await<SendEnded>()
+        traffic.execute(DeliverAnswer(call, send))
+        traffic.execute(StopGateway(withinMs = PATIENCE_MS.toLong()))
+        val early = traffic.stops.poll(SETTLE_MS, TimeUnit.MILLISECONDS)
+        caller.readHead()
+        val read = caller.getInputStream().readNBytes(LONG_BODY)
+
+        expectThat(early).isNull()
+        expectThat(read.size).isEqualTo(LONG_BODY)
+        expectThat(traffic.stops.poll(PATIENCE_MS.toLong(), TimeUnit.MILLISECONDS)).isNotNull()
+    }
+
+    @Test
+    fun `the process stops in time although a caller does not read its answer`() {
+        val caller = traffic.caller()
+        val call = traffic.request(caller, "r1")
+        val send = traffic.send(call, server)
+        server.accept().apply { readHead() }.write(answer("r1", "x".repeat(LONG_BODY)))
+        traffic.await<SendEnded>()
+        traffic.execute(DeliverAnswer(call, send))
+        traffic.execute(StopGateway(withinMs = 0))
+
+        expectThat(traffic.stops.poll(PATIENCE_MS.toLong(), TimeUnit.MILLISECONDS)).isNotNull()
+        caller.close()
+    }
+
     @Test
     fun `a refused connection counts as unsent`() {
         val caller = traffic.caller()
@@ -259,6 +295,9 @@
     }
 
     private companion object {
+        /** More than the buffers of both sockets hold. */
+        const val LONG_BODY = 32 * 1024 * 1024
+
         /** Long enough for a busy machine; reads end as soon as the other side closes. */
         const val PATIENCE_MS = 10_000
 
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/TestTraffic.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/TestTraffic.kt
@@ -63,6 +63,7 @@
 internal class TestTraffic : AutoCloseable {
     val events = LinkedBlockingQueue<GatewayEvent>()
     val badMessages = LinkedBlockingQueue<String>()
+    val stops = LinkedBlockingQueue<Unit>()
     private val ports = List(4) { freePort() }
     private val traffic = GatewayTraffic(
         addresses = TrafficAddresses(
@@ -73,7 +74,7 @@
         ),
         self = VmId("self"),
         wire = TestWire,
-        onStop = {},
+        onStop = { stops.add(Unit) },
         onBadMessage = badMessages::add,
     )
     private var nextSend = 0L
