--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -130,6 +130,8 @@
             "reason" to reason,
             "told" to told,
             "ageMs" to tick.nowMs - call.arrivedMs,
+            "remainingMs" to call.remainingMs(tick.nowMs),
+            "hasStarted" to call.isStreamStarted,
             "arrivals" to call.arrivals,
             "runs" to call.runs,
             "servers" to servers.joinToString(" ") { describe(world, it, tick.nowMs) },
