--- a/bench/src/test/kotlin/org/pomeloladder/bench/GatewayProcess.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewayProcess.kt
@@ -41,8 +41,32 @@
     val isAlive: Boolean
         get() = process?.isAlive == true
 
+    private val settings = File(directory, "settings.yaml")
+
+    /** The exit code, or null while the process runs. */
+    val exitCode: Int?
+        get() = process?.takeIf { !it.isAlive }?.exitValue()
+
     fun start() {
-        val settings = File(directory, "settings.yaml").apply { writeText(settingsYaml()) }
+        settings.writeText(settingsYaml())
+        launch()
+    }
+
+    /**
+     * Starts with a pipe in place of the settings file, and returns when the process waits for its bytes. Calling the
+     * result lets the start go on; by then the file is in place.
+     */
+    fun startHeld(): () -> Unit {
+        ProcessBuilder("mkfifo", settings.path).start().waitFor()
+        launch()
+        // Opening the pipe waits for the process to open it.
+        val pipe = settings.outputStream()
+        settings.delete()
+        settings.writeText(settingsYaml())
+        return { pipe.use { it.write(settingsYaml().toByteArray()) } }
+    }
+
+    private fun launch() {
         val command = listOf(
             File(System.getProperty("java.home"), "bin/java").path,
             "-Xmx128m",
--- /dev/null
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewayStartTest.kt
@@ -0,0 +1,65 @@
+/*
+ * Starts of the packaged gateway that the platform disturbs.
+ */
+package org.pomeloladder.bench
+
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.BeforeEach
+import org.junit.jupiter.api.Test
+import org.pomeloladder.standins.StoreStandIn
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+
+class GatewayStartTest {
+    private val store = StoreStandIn()
+    private val ports = GatewayPorts()
+    private val gateway by lazy { GatewayProcess(HOST, "north", ports, store.address) }
+
+    @BeforeEach
+    fun start() {
+        store.start()
+        store.put(
+            "op/config",
+            """{"Version":1,"Routes":[],"Services":[],"Limits":{"MaxHeaderBytes":16384,""" +
+                """"MaxBodyBytes":1000000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}""",
+        )
+    }
+
+    @AfterEach
+    fun stop() {
+        gateway.close()
+        store.close()
+    }
+
+    // Guards against SIGHUP ending a process that is still starting.
+    @Test
+    fun `SIGHUP during a start leaves the process running, and the settings are read again`() {
+        val release = gateway.startHeld()
+        repeat(SIGNALS) { gateway.signal("HUP") }
+        release()
+
+        gateway.awaitReady()
+        eventually("the settings were read again") {
+            "settings read again" in gateway.log.readText()
+        }
+    }
+
+    // Guards against a process that was asked to end while it started and opens its ports all the same.
+    @Test
+    fun `SIGTERM during a start ends the process as a graceful shutdown does`() {
+        val release = gateway.startHeld()
+        gateway.signal("HUP")
+        gateway.signal("TERM")
+
+        expectThat(gateway.awaitEnd()).isTrue()
+        expectThat(gateway.exitCode).isEqualTo(0)
+        // The process has closed the pipe.
+        runCatching(release)
+    }
+
+    private companion object {
+        const val HOST = 2
+        const val SIGNALS = 3
+    }
+}
