End a process that cannot open a port

What operators saw: a process that runs, serves nothing and writes no line of its log, when one of its ports is taken.

Cause: the failed bind was thrown out of main, whose thread ended, while the traffic threads kept the process alive.

Change: opening the ports has an outcome. The first port that cannot be opened is logged as event 109 with its address, and the process ends with 69.

The new test takes each of four ports before a real process starts.

--- a/bench/src/test/kotlin/org/pomeloladder/bench/GatewayStartTest.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewayStartTest.kt
@@ -3,11 +3,14 @@
  */
 package org.pomeloladder.bench
 
+import java.net.InetAddress
+import java.net.ServerSocket
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.BeforeEach
 import org.junit.jupiter.api.Test
 import org.pomeloladder.standins.StoreStandIn
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import strikt.assertions.isTrue
 
@@ -58,8 +61,25 @@
         runCatching(release)
     }
 
+    // Guards against a process that stays without serving because one of its ports is taken.
+    @Test
+    fun `a port that cannot be opened ends the process with one line that names the address`() {
+        val host = InetAddress.getByName(gateway.callers.host)
+        val taken = listOf(ports.callers, ports.readiness, ports.directory, ports.firstPeer + 1)
+        for (port in taken) {
+            ServerSocket(port, 1, host).use {
+                gateway.start()
+                expectThat(gateway.awaitEnd()).isTrue()
+            }
+            expectThat(gateway.exitCode).isEqualTo(EXIT_PORT)
+            val lines = gateway.log.readLines()
+            expectThat(lines.last()).contains("${host.hostAddress}:$port").contains("109")
+        }
+    }
+
     private companion object {
         const val HOST = 2
         const val SIGNALS = 3
+        const val EXIT_PORT = 69
     }
 }
--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/LogEvent.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/LogEvent.kt
@@ -18,6 +18,7 @@
     READY(106, Severity.INFO, "entry process serves callers"),
     SETTINGS_RELOADED(107, Severity.INFO, "settings read again"),
     THREADS_LATE(108, Severity.WARN, "a thread ran late"),
+    PORT_NOT_OPENED(109, Severity.ERROR, "port cannot be opened, process stops"),
     CONFIG_IN_FORCE(200, Severity.INFO, "configuration in force"),
     CONFIG_REFUSED(201, Severity.WARN, "configuration entry refused"),
     CONFIG_DIVERGED(202, Severity.ERROR, "configuration digest differs at the same position"),
--- a/gateway/src/main/kotlin/org/pomeloladder/entry/Gateway.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/entry/Gateway.kt
@@ -36,6 +36,7 @@
 import org.pomeloladder.runtime.RealMonotonicClock
 import org.pomeloladder.traffic.Fetcher
 import org.pomeloladder.traffic.GatewayTraffic
+import org.pomeloladder.traffic.PortFailure
 import org.pomeloladder.traffic.TrafficAddresses
 import org.pomeloladder.traffic.Wire
 
@@ -110,18 +111,27 @@
         onBroken = ::stopBroken,
     )
 
-    fun start() {
+    /** Opens all ports and starts; otherwise returns the port that could not be opened, and nothing runs. */
+    fun start(): PortFailure? {
         val apis = mapOf<Address, HttpHandler>(
             address(settings.readiness) to deployment.readiness { traffic.entry },
             address(settings.directory) to deployment.directory({ traffic.entry }, ttlMs),
             Address(settings.host, settings.metricsPort) to ::metricsAnswer,
         )
-        traffic.start(control, apis)
+        journal.start()
+        val failure = traffic.start(control, apis)
+        if (failure != null) {
+            val details = mapOf("address" to failure.address, "cause" to failure.cause)
+            journal.log(LogEvent.PORT_NOT_OPENED, details)
+            traffic.close()
+            journal.close()
+            return failure
+        }
         control.start()
         deployment.startReading(traffic.fetcher, control)
-        journal.start()
         val details = mapOf("vm" to self.vm, "incarnation" to self.incarnation)
         journal.log(LogEvent.STARTED, details)
+        return null
     }
 
     /** Asks for a graceful shutdown; [awaitStop] returns when it is finished. */
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ApiListener.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ApiListener.kt
@@ -7,6 +7,7 @@
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
@@ -33,7 +34,8 @@
 
 /** Serves [handler] on [address]. */
 internal class ApiListener(private val address: Address, private val handler: HttpHandler) {
-    fun open(group: EventLoopGroup): Channel = ServerBootstrap().group(group)
+    /** Returns when the port is open or cannot be opened. */
+    fun open(group: EventLoopGroup): ChannelFuture = ServerBootstrap().group(group)
         .channel(NioServerSocketChannel::class.java)
         .childHandler(object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) {
@@ -42,7 +44,7 @@
                     .addLast(Answerer(handler))
             }
         })
-        .bind(InetSocketAddress(address.host, address.port)).sync().channel()
+        .bind(InetSocketAddress(address.host, address.port)).awaitUninterruptibly()
 
     private class Answerer(private val handler: HttpHandler) :
         SimpleChannelInboundHandler<FullHttpRequest>() {
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -8,6 +8,7 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.MultiThreadIoEventLoopGroup
@@ -82,6 +83,9 @@
     fun observe(gapMs: Long)
 }
 
+/** A port that could not be opened. */
+data class PortFailure(val address: Address, val cause: String)
+
 /** Traffic of one process. */
 internal class GatewayTraffic(
     private val addresses: TrafficAddresses,
@@ -103,7 +107,6 @@
     private val heardServers = HashSet<BackendServerId>()
     private val gaps = HashMap<BackendServerId, EventGaps>()
     private val gossip = GossipChannel(loop, addresses.gossip, ::gossiped, onBadMessage)
-    private val listeners = ArrayList<Channel>()
     private lateinit var events: EventSinkOf<GatewayEvent>
     private var nextCall = 0L
     private var sweptMs = RealMonotonicClock.nowMs()
@@ -116,17 +119,25 @@
     override var entry = EntryView()
         private set
 
-    /** Opens all sockets. [apis] are small handlers by address. */
-    fun start(events: EventSinkOf<GatewayEvent>, apis: Map<Address, HttpHandler>) {
+    /** Opens all sockets, or returns the first that could not be. [apis] are small handlers by address. */
+    fun start(events: EventSinkOf<GatewayEvent>, apis: Map<Address, HttpHandler>): PortFailure? {
         this.events = events
-        gossip.open()
-        listeners += listen(addresses.callers, isRelay = false)
-        listeners += listen(addresses.relay, isRelay = true)
-        apis.forEach { (address, handler) -> ApiListener(address, handler).open(group) }
-        ApiListener(addresses.views, ::viewFor).open(group)
-        loop.scheduleAtFixedRate(::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS)
+        val handlers = apis + (addresses.views to ::viewFor)
+        val failure = failureOf(addresses.gossip, gossip.open())
+            ?: failureOf(addresses.callers, listen(addresses.callers, isRelay = false))
+            ?: failureOf(addresses.relay, listen(addresses.relay, isRelay = true))
+            ?: handlers.firstNotNullOfOrNull { (address, handler) ->
+                failureOf(address, ApiListener(address, handler).open(group))
+            }
+        if (failure == null) {
+            loop.scheduleAtFixedRate(::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS)
+        }
+        return failure
     }
 
+    private fun failureOf(address: Address, bound: ChannelFuture): PortFailure? =
+        if (bound.isSuccess) null else PortFailure(address, bound.cause().toString())
+
     /** Hands a command of the control thread over; it is carried out on the traffic thread. */
     fun execute(command: GatewayCommand) {
         if (command is PublishEntryView) {
@@ -143,21 +154,22 @@
         group.shutdownGracefully(0, CLOSE_MS, TimeUnit.MILLISECONDS).await(CLOSE_MS * 2)
     }
 
-    private fun listen(address: Address, isRelay: Boolean): Channel = ServerBootstrap().group(group)
-        .channel(NioServerSocketChannel::class.java)
-        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(ChannelOption.SO_KEEPALIVE, true)
-        .childHandler(object : ChannelInitializer<Channel>() {
-            override fun initChannel(channel: Channel) {
-                val headBytes =
-                    entry.limits.maxHeaderBytes + if (isRelay) RELAY_HEAD_BYTES else 0
-                channel.pipeline()
-                    .addLast(HttpServerCodec(headBytes, headBytes, CHUNK_BYTES))
-                    .addLast(CallerConnection(this@GatewayTraffic, isRelay))
-            }
-        })
-        .bind(InetSocketAddress(address.host, address.port)).sync().channel()
+    private fun listen(address: Address, isRelay: Boolean): ChannelFuture =
+        ServerBootstrap().group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.SO_KEEPALIVE, true)
+            .childHandler(object : ChannelInitializer<Channel>() {
+                override fun initChannel(channel: Channel) {
+                    val headBytes =
+                        entry.limits.maxHeaderBytes + if (isRelay) RELAY_HEAD_BYTES else 0
+                    channel.pipeline()
+                        .addLast(HttpServerCodec(headBytes, headBytes, CHUNK_BYTES))
+                        .addLast(CallerConnection(this@GatewayTraffic, isRelay))
+                }
+            })
+            .bind(InetSocketAddress(address.host, address.port)).awaitUninterruptibly()
 
     private fun publish(view: EntryView) {
         val isDrainStart = view.isDraining && !entry.isDraining
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GossipChannel.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GossipChannel.kt
@@ -9,6 +9,7 @@
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.EventLoop
 import io.netty.channel.SimpleChannelInboundHandler
@@ -37,12 +38,15 @@
     /** The message sent last and its bytes; one message goes to many peers in a row. */
     private var encoded: Pair<GossipMessage, ByteArray>? = null
 
-    fun open() {
-        channel = Bootstrap().group(loop)
+    /** Returns when the port is open or cannot be opened. */
+    fun open(): ChannelFuture {
+        val bound = Bootstrap().group(loop)
             .channel(NioDatagramChannel::class.java)
             .handler(Reader())
             .bind(InetSocketAddress(address.host, address.port))
-            .sync().channel()
+            .awaitUninterruptibly()
+        channel = bound.channel()
+        return bound
     }
 
     fun send(command: SendGossip) {
