Bound the bytes of a server that are no answer

What callers would see: a request that waits until its time limit while its server sends bytes without end, and in the end an entry VM without memory.

Cause: each decoded message of a connection counted as a sign of life, whatever it was, and everything that was not passed on at once was held until its end. So informational heads, answers to other requests, events that the caller has already and events without an id kept a send alive; the body of an answer that its head rules out was awaited; and one event or one body could grow without bound.

Change: only progress of the answer to the own request is a sign of life: its head, a new event, or bytes of a body that may be passed on. At most 256 KiB may come without progress, counted before the decoder; one event has at most 64 KiB, one held answer at most 4 MiB, and all held answers an eighth of the heap together, beyond which the longest yields. An answer that its head rules out ends the send after the read in which its head came; the connection stays in use when the answer was whole by then. The server sees its connection close at once, the outcome counts against it as any broken answer does, and the call goes on as its kind allows.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
@@ -81,7 +81,7 @@
 enum class NotRunReason { FULL, WRONG_INSTANCE, REJECTED, PEER_REFUSED }
 
 /** Why an answer cannot be used. */
-enum class BreakReason { CONNECTION_LOST, TRUNCATED, NOT_HTTP, UNSIGNED, WRONG_ORDER }
+enum class BreakReason { CONNECTION_LOST, TRUNCATED, NOT_HTTP, UNSIGNED, WRONG_ORDER, TOO_LONG }
 
 /** A datagram from a peer. */
 data class GossipReceived(
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/EventSplitter.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/EventSplitter.kt
@@ -18,6 +18,10 @@
     private var scanned = 0
     private var lineLength = 0
 
+    /** Bytes of an unfinished event. */
+    val heldBytes: Int
+        get() = size
+
     /** Whether bytes of an unfinished event are held. */
     val hasPartialEvent: Boolean
         get() = size > 0
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -94,6 +94,7 @@
     private val onStop: () -> Unit,
     private val onBadMessage: (String) -> Unit,
     private val meter: StreamMeter = StreamMeter { },
+    private val maxHeldBytes: Long = Runtime.getRuntime().maxMemory() / HELD_SHARE,
 ) : CallerGate,
     ServerGate {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -110,6 +111,7 @@
     private lateinit var events: EventSinkOf<GatewayEvent>
     private var nextCall = 0L
     private var sweptMs = RealMonotonicClock.nowMs()
+    private var heldBytes = 0L
     private val cbor = Cbor
 
     /** Plain calls on the same thread. */
@@ -327,7 +329,7 @@
     }
 
     private fun cancelSend(id: SendId) {
-        sends.remove(id)
+        sends.remove(id)?.let { heldBytes -= it.countedBytes }
         carriers.remove(id)?.cancel()
     }
 
@@ -359,13 +361,22 @@
     override fun started(send: ActiveSend, load: LoadReport?) =
         events.post(SendStarted(send.id, load))
 
+    override fun held(send: ActiveSend) {
+        if (send.id !in sends) return
+        heldBytes += send.heldBytes - send.countedBytes
+        send.countedBytes = send.heldBytes
+        if (heldBytes <= maxHeldBytes) return
+        val largest = sends.values.maxBy { it.heldBytes }
+        carriers[largest.id]?.breakOff()
+    }
+
     override fun ended(
         send: ActiveSend,
         outcome: SendOutcome,
         load: LoadReport?,
         connection: ServerConnection?,
     ) {
-        sends.remove(send.id)
+        sends.remove(send.id)?.let { heldBytes -= it.countedBytes }
         carriers.remove(send.id)
         if (connection != null) pool.keep(connection)
         val longestGapMs = send.longestGapNanos / NANOS_PER_MS
@@ -444,6 +455,9 @@
     }
 
     private companion object {
+        /** Part of the heap that answers under way may take. */
+        const val HELD_SHARE = 8
+
         /** Interval of the look at idle connections and quiet sends. */
         const val SWEEP_MS = 100L
 
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -1,6 +1,7 @@
 /*
  * One connection to a backend server or to a peer's relay listener. It carries one request at a time. Bytes that belong
- * to no request, or to another one, are never passed on, and the connection is not used again after them.
+ * to no request, or to another one, are never passed on, and the connection is not used again after them. Only progress
+ * of the answer to the own request counts as a sign of life, and bytes without progress are bounded.
  */
 package org.pomeloladder.traffic
 
@@ -14,6 +15,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
@@ -49,6 +51,13 @@
     val body = ByteArrayOutputStream()
 
     fun quietMs(nowNanos: Long): Long = (nowNanos - quietSinceNanos) / NANOS_PER_MS
+
+    /** What the traffic side has counted of [heldBytes]. */
+    var countedBytes = 0
+
+    /** Bytes of the answer that are not passed on yet. */
+    val heldBytes: Int
+        get() = body.size() + splitter.heldBytes
 }
 
 /** What a server connection reports. */
@@ -62,6 +71,9 @@
     /** An event came [gapNanos] after the one before it. */
     fun paced(target: SendTarget, gapNanos: Long)
 
+    /** The bytes held for [send] changed. */
+    fun held(send: ActiveSend)
+
     /** [connection] is null when it cannot carry another request. */
     fun ended(
         send: ActiveSend,
@@ -75,12 +87,19 @@
 
 /** One outbound connection. */
 internal class ServerConnection(val target: SendTarget, private val gate: ServerGate) :
-    ChannelInboundHandlerAdapter() {
+    ChannelInboundHandlerAdapter(),
+    ByteGate {
     private lateinit var channel: Channel
     private var send: ActiveSend? = null
     private var response: HttpResponse? = null
     private var head: AnswerHead? = null
     private var isSkipping = false
+
+    /** How the send ends whatever its body says, known at the head of the answer. */
+    private var verdict: SendOutcome? = null
+
+    /** Bytes since the answer last made progress. */
+    private var idleBytes = 0L
     private var isReusable = true
     private var wasReset = false
     var keepMs: Long? = null
@@ -100,6 +119,7 @@
         check(send == null) { "a connection carries one request at a time" }
         send = active
         active.quietSinceNanos = System.nanoTime()
+        idleBytes = 0
         val exchange = active.exchange
         val request = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -118,10 +138,28 @@
 
     /** Drops the request under way; the server sees the connection close. */
     fun cancel() {
-        send = null
+        leave()
         close()
     }
 
+    /** Ends the request under way because its answer takes too much memory. */
+    fun breakOff() {
+        isReusable = false
+        finish(SendOutcome.Broken(BreakReason.TOO_LONG))
+    }
+
+    override fun arrived(bytes: Int): Boolean {
+        if (send == null) {
+            // Bytes that nobody asked for. The decoder would leave some of them out without a word.
+            close()
+            return false
+        }
+        idleBytes += bytes
+        if (idleBytes <= MAX_IDLE_BYTES) return true
+        breakOff()
+        return false
+    }
+
     fun close() {
         isReusable = false
         channel.close()
@@ -135,8 +173,6 @@
                 close()
                 return
             }
-            gate.heard(target)
-            active.quietSinceNanos = System.nanoTime()
             if (message is HttpResponse) begin(active, message)
             val current = send
             if (message is HttpContent && current != null && response != null) add(current, message)
@@ -145,6 +181,13 @@
         }
     }
 
+    override fun channelReadComplete(ctx: ChannelHandlerContext) {
+        // A short body arrives with its head and leaves the connection in use; a longer one is not waited for.
+        val outcome = verdict ?: return
+        isReusable = false
+        finish(outcome)
+    }
+
     override fun channelInactive(ctx: ChannelHandlerContext) {
         isReusable = false
         gate.closed(this)
@@ -162,6 +205,7 @@
             isReusable = false
             return finish(SendOutcome.Broken(BreakReason.NOT_HTTP))
         }
+        if (message.status() == HttpResponseStatus.SWITCHING_PROTOCOLS) return breakOff()
         if (message.status().code() < FIRST_FINAL_STATUS) return
         val read = gate.read(message)
         val isOther = read.requestId != null &&
@@ -169,7 +213,12 @@
         response = message
         head = read
         isSkipping = isOther
-        if (isOther) isReusable = false
+        if (isOther) {
+            isReusable = false
+        } else {
+            verdict = verdictOf(active, read, message.headers())
+            progress(active)
+        }
         if (!HttpUtil.isKeepAlive(message)) isReusable = false
         keepMs = keepAliveMs(message.headers())
     }
@@ -204,32 +253,57 @@
         read.requestId != null
 
     private fun addBody(active: ActiveSend, read: AnswerHead, bytes: ByteBuf): Boolean {
-        if (!isPassable(active, read)) {
+        if (verdict != null) return true
+        val isInOrder = if (isPassable(active, read)) {
+            split(active, read, bytes)
+        } else {
+            if (read.isSuccess && bytes.isReadable) progress(active)
             bytes.readBytes(active.body, bytes.readableBytes())
-            return true
-        }
-        var isInOrder = true
-        active.splitter.add(bytes) { event ->
-            if (isInOrder) isInOrder = pass(active, read, event)
+            true
         }
         if (!isInOrder) {
             isReusable = false
             finish(SendOutcome.Broken(BreakReason.WRONG_ORDER))
+            return false
+        }
+        gate.held(active)
+        if (active.body.size() > MAX_ANSWER_BYTES || active.splitter.heldBytes > MAX_EVENT_BYTES) {
+            breakOff()
+        }
+        return send === active
+    }
+
+    private fun split(active: ActiveSend, read: AnswerHead, bytes: ByteBuf): Boolean {
+        var isInOrder = true
+        active.splitter.add(bytes) { event ->
+            if (isInOrder) isInOrder = pass(active, read, event)
         }
         return isInOrder
     }
 
+    private fun progress(active: ActiveSend) {
+        gate.heard(target)
+        active.quietSinceNanos = System.nanoTime()
+        idleBytes = 0
+    }
+
     private fun pass(active: ActiveSend, read: AnswerHead, event: StreamEvent): Boolean {
         val headers = checkNotNull(response).headers()
-        if (!active.exchange.pass(event, read, headers)) return false
+        val exchange = active.exchange
+        val before = exchange.lastEventId
+        if (!exchange.pass(event, read, headers)) return false
+        if (!active.isPassedOn) {
+            active.isPassedOn = true
+            gate.started(active, read.load)
+        }
+        // Events without an id, and those that the caller has already, may come without end.
+        if (exchange.lastEventId == before) return true
+        progress(active)
         val nowNanos = System.nanoTime()
-        if (active.isPassedOn) {
+        if (active.events > 0) {
             val gapNanos = nowNanos - active.eventNanos
             active.longestGapNanos = maxOf(active.longestGapNanos, gapNanos)
             gate.paced(target, gapNanos)
-        } else {
-            active.isPassedOn = true
-            gate.started(active, read.load)
         }
         active.events++
         active.eventNanos = nowNanos
@@ -246,41 +320,60 @@
             }
             return finish(outcome)
         }
-        val outcome = judge(active, read, headers)
+        val outcome = judge(active, read)
         if (outcome is SendOutcome.Answered) {
             active.exchange.held[active.id] = HeldAnswer(read, headers, active.body.toByteArray())
         }
         finish(outcome)
     }
 
-    private fun judge(active: ActiveSend, read: AnswerHead, headers: HttpHeaders): SendOutcome =
-        when {
-            active.target is SendTarget.Peer && Relay.isRefused(headers) ->
-                SendOutcome.NotRun(NotRunReason.PEER_REFUSED, hasArrived = false)
-            read.isWrongInstance -> SendOutcome.NotRun(NotRunReason.WRONG_INSTANCE)
-            read.isNotRun && read.isPromise -> SendOutcome.NotRun(NotRunReason.FULL)
-            read.isNotRun -> SendOutcome.NotRun(NotRunReason.REJECTED)
-            // Without the server's own word these statuses would promise what is not known.
-            read.isPromise -> SendOutcome.Broken(BreakReason.UNSIGNED)
-            read.isSuccess && (!read.isSigned || read.isEncoded || read.requestId == null) ->
-                SendOutcome.Broken(BreakReason.UNSIGNED)
-            active.isStream && read.isSuccess -> SendOutcome.Broken(BreakReason.TRUNCATED)
-            else -> SendOutcome.Answered(read.status)
-        }
+    private fun judge(active: ActiveSend, read: AnswerHead): SendOutcome = verdict ?: when {
+        active.isStream && read.isSuccess -> SendOutcome.Broken(BreakReason.TRUNCATED)
+        else -> SendOutcome.Answered(read.status)
+    }
+
+    private fun verdictOf(
+        active: ActiveSend,
+        read: AnswerHead,
+        headers: HttpHeaders,
+    ): SendOutcome? = when {
+        active.target is SendTarget.Peer && Relay.isRefused(headers) ->
+            SendOutcome.NotRun(NotRunReason.PEER_REFUSED, hasArrived = false)
+        read.isWrongInstance -> SendOutcome.NotRun(NotRunReason.WRONG_INSTANCE)
+        read.isNotRun && read.isPromise -> SendOutcome.NotRun(NotRunReason.FULL)
+        read.isNotRun -> SendOutcome.NotRun(NotRunReason.REJECTED)
+        // Without the server's own word these statuses would promise what is not known.
+        read.isPromise -> SendOutcome.Broken(BreakReason.UNSIGNED)
+        read.isSuccess && (!read.isSigned || read.isEncoded || read.requestId == null) ->
+            SendOutcome.Broken(BreakReason.UNSIGNED)
+        else -> null
+    }
 
     private fun finish(outcome: SendOutcome) {
-        val active = send ?: return
         val load = head?.load
-        send = null
-        response = null
-        head = null
+        val active = leave() ?: return
         idleSinceNanos = System.nanoTime()
         val isKept = isReusable && channel.isActive
         gate.ended(active, outcome, load, if (isKept) this else null)
         if (!isKept && channel.isActive) close()
     }
 
+    /** Forgets the request under way and returns it. */
+    private fun leave(): ActiveSend? {
+        val active = send ?: return null
+        send = null
+        response = null
+        head = null
+        verdict = null
+        return active
+    }
+
     private companion object {
         const val FIRST_FINAL_STATUS = 200
+
+        /** Most bytes without progress of the answer, foreign answers and dropped events among them. */
+        const val MAX_IDLE_BYTES = 256L * 1024
+        const val MAX_EVENT_BYTES = 64 * 1024
+        const val MAX_ANSWER_BYTES = 4 * 1024 * 1024
     }
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerPool.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerPool.kt
@@ -120,6 +120,7 @@
             .handler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
                     channel.pipeline()
+                        .addLast(RawByteCounter(connection))
                         .addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
                         .addLast(connection)
                 }
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/TestTraffic.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/TestTraffic.kt
@@ -59,8 +59,8 @@
     override fun writeRefusal(reason: CallRefusal, retryAfterMs: Long?, headers: HttpHeaders) = 503
 }
 
-/** A running traffic side. */
-internal class TestTraffic : AutoCloseable {
+/** A running traffic side that holds at most [maxHeldBytes] of answers. */
+internal class TestTraffic(maxHeldBytes: Long = 64L shl 20) : AutoCloseable {
     val events = LinkedBlockingQueue<GatewayEvent>()
     val badMessages = LinkedBlockingQueue<String>()
     val stops = LinkedBlockingQueue<Unit>()
@@ -76,6 +76,7 @@
         wire = TestWire,
         onStop = { stops.add(Unit) },
         onBadMessage = badMessages::add,
+        maxHeldBytes = maxHeldBytes,
     )
     private var nextSend = 0L
 
@@ -115,8 +116,9 @@
     inline fun <reified E : GatewayEvent> await(): E = next() as E
 
     fun next(): GatewayEvent {
+        val untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MS)
         while (true) {
-            val event = events.poll(PATIENCE_MS, TimeUnit.MILLISECONDS)
+            val event = events.poll(untilNanos - System.nanoTime(), TimeUnit.NANOSECONDS)
             checkNotNull(event) { "no event within $PATIENCE_MS ms" }
             if (!isRegularReport(event)) return event
         }
