Let a server wait for a caller that does not read

What operators would see: the memory of an entry VM grows with each stream whose server sends faster than its caller reads, until the process ends.

Cause: events were written to the caller's connection whether or not it took them, so that they piled up in front of it.

Change: while the caller's connection is not writable, its server's connection is not read. The send does not count as quiet in this time, and the time limit of the call still ends it.

The new test has a caller that does not read. On the code before, the server wrote all of 16 MiB within 3 s ("Expect that false is true" for "the writer still waits"); now it waits, and goes on when the caller reads again.

--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/CallerConnection.kt
@@ -86,6 +86,10 @@
         }
     }
 
+    override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
+        if (isWritable) exchange?.onWritable?.invoke()
+    }
+
     override fun channelInactive(ctx: ChannelHandlerContext) {
         gate.unregister(this)
         waiting.clear()
@@ -158,6 +162,9 @@
         context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
     }
 
+    override val isWritable: Boolean
+        get() = context.channel().isWritable
+
     override fun startStream(status: Int, headers: HttpHeaders) {
         val response = DefaultHttpResponse(
             HttpVersion.HTTP_1_1,
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/Exchange.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/Exchange.kt
@@ -15,6 +15,9 @@
 
 /** Where the answer of a call goes. */
 internal interface AnswerSink {
+    /** False while bytes that were passed on wait for the other side to read. */
+    val isWritable: Boolean
+
     /** Starts a streamed answer. */
     fun startStream(status: Int, headers: HttpHeaders)
 
@@ -45,6 +48,9 @@
     var isStreamStarted = false
     val held = HashMap<SendId, HeldAnswer>()
 
+    /** Called when [sink] is writable again. */
+    var onWritable: (() -> Unit)? = null
+
     /**
      * Passes [event] on. Returns false when events are missing before it; an event that the caller has already is left
      * out.
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -440,6 +440,7 @@
             gaps.clear()
         }
         for (send in sends.values) {
+            if (send.isPaused) continue
             val quietMs = send.quietMs(nowNanos)
             if (quietMs >= QUIET_MS) events.post(SendQuiet(send.id, quietMs))
         }
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -43,6 +43,9 @@
     var quietSinceNanos = System.nanoTime()
     var isPassedOn = false
 
+    /** Set while the caller does not read as fast as the server sends. */
+    var isPaused = false
+
     /** Events passed on, and when the last of them was. */
     var events = 0
     var eventNanos = 0L
@@ -278,6 +281,7 @@
         active.splitter.add(bytes) { event ->
             if (isInOrder) isInOrder = pass(active, read, event)
         }
+        if (isInOrder) pauseWithCaller(active)
         return isInOrder
     }
 
@@ -287,6 +291,23 @@
         idleBytes = 0
     }
 
+    /** Reads on only when the caller takes what was passed on, so that nothing piles up between the two. */
+    private fun pauseWithCaller(active: ActiveSend) {
+        val exchange = active.exchange
+        if (active.isPaused || exchange.sink.isWritable) return
+        active.isPaused = true
+        channel.config().isAutoRead = false
+        exchange.onWritable = { if (active.isPaused) resume(active) }
+    }
+
+    private fun resume(active: ActiveSend) {
+        active.isPaused = false
+        active.quietSinceNanos = System.nanoTime()
+        active.eventNanos = active.quietSinceNanos
+        active.exchange.onWritable = null
+        channel.config().isAutoRead = true
+    }
+
     private fun pass(active: ActiveSend, read: AnswerHead, event: StreamEvent): Boolean {
         val headers = checkNotNull(response).headers()
         val exchange = active.exchange
@@ -365,6 +386,7 @@
         response = null
         head = null
         verdict = null
+        if (active.isPaused) resume(active)
         return active
     }
 
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/EndlessBytesTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/EndlessBytesTest.kt
@@ -244,6 +244,39 @@
         expectThat(broken()).isEqualTo(BreakReason.TOO_LONG)
     }
 
+    @Test
+    fun `a stream waits for a caller that does not read, and goes on when it reads again`() {
+        val caller = traffic.caller()
+        val call = traffic.request(caller, "r1")
+        val connection = accept(call, isStream = true)
+        connection.write(chunkedHead("r1"))
+        var written = 0L
+        val writer = Thread {
+            val data = "x".repeat(EVENT_BYTES)
+            try {
+                for (id in 1..FLOOD_BYTES / EVENT_BYTES) {
+                    connection.write(chunk("id: $id\ndata: $data\n\n"))
+                    written = id.toLong() * EVENT_BYTES
+                }
+            } catch (_: IOException) {
+                // The other side closed.
+            }
+        }
+        writer.start()
+        writer.join(TRICKLE_MS)
+        expectThat(writer.isAlive).isTrue()
+        expectThat(traffic.events.none { it is SendQuiet || it is SendEnded }).isTrue()
+
+        val before = written
+        val sink = ByteArray(BLOCK_BYTES)
+        var read = 0L
+        while (read < before + FLOOD_BYTES / 8) read += caller.getInputStream().read(sink)
+        caller.close()
+        connection.close()
+        writer.join()
+        expectThat(written > before).isTrue()
+    }
+
     @Test
     fun `answers of many connections stay within one bound together, and the longest yields`() {
         TestTraffic(maxHeldBytes = 1 shl 20).use { small ->
@@ -269,6 +302,7 @@
 
         /** More than sockets on loopback hold without a reader. */
         const val FLOOD_BYTES = 16 shl 20
+        const val EVENT_BYTES = 8_192
         const val TRICKLE_MS = 3_000L
         const val TRICKLE_PAUSE_MS = 20L
         const val QUIET_MS = 1_000L
