Bound plain calls, and leave informational heads out of them

What callers would see: health, views and the store read wrong. An informational head was taken for the answer, and the answer itself, which came later on the same connection, for that of the next call.

Change: heads below 200 are left out, bytes without a call close the connection, and a health answer has at most 64 KiB, so that many bad servers checked at once take little memory. Answers of the store and of peers keep their 8 MiB, which now includes everything received.

`informational heads before a health answer are left out` failed on the code before ("Expect that false is true"). The tests of blank lines and of a long health answer passed before, by Netty's bound and by the time limit of a check; they stay as guards.

--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/Fetcher.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/Fetcher.kt
@@ -24,8 +24,9 @@
 import java.util.concurrent.TimeUnit
 import org.pomeloladder.configuration.Address
 
-/** The largest answer: a page of a megabyte in base64 with its fields. */
+/** The largest answer by default: a page of a megabyte in base64 with its fields. */
 private const val MAX_ANSWER_BYTES = 8 * 1024 * 1024
+private const val FIRST_FINAL_STATUS = 200
 private const val CONNECT_TIMEOUT_MS = 1_000L
 
 /** How a call ended. */
@@ -45,8 +46,12 @@
     fun later(delayMs: Long, task: () -> Unit)
 }
 
-/** The fetcher of production. */
-internal class RealFetcher(private val loop: EventLoop, private val localHost: String) : Fetcher {
+/** The fetcher of production. An answer has at most [maxBytes], its head included. */
+internal class RealFetcher(
+    private val loop: EventLoop,
+    private val localHost: String,
+    private val maxBytes: Int = MAX_ANSWER_BYTES,
+) : Fetcher {
     private val idle = HashMap<Address, FetchConnection>()
 
     override fun get(address: Address, uri: String, timeoutMs: Long, done: (Fetched) -> Unit) {
@@ -60,8 +65,9 @@
         val bootstrap = clientBootstrap(loop, localHost, minOf(CONNECT_TIMEOUT_MS, timeoutMs))
             .handler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
-                    channel.pipeline().addLast(HttpClientCodec())
-                        .addLast(HttpObjectAggregator(MAX_ANSWER_BYTES))
+                    channel.pipeline().addLast(RawByteCounter(connection))
+                        .addLast(HttpClientCodec())
+                        .addLast(HttpObjectAggregator(maxBytes))
                         .addLast(connection)
                 }
             })
@@ -79,8 +85,10 @@
     }
 
     private inner class FetchConnection(private val address: Address) :
-        ChannelInboundHandlerAdapter() {
+        ChannelInboundHandlerAdapter(),
+        ByteGate {
         private lateinit var channel: Channel
+        private var receivedBytes = 0L
         private var done: ((Fetched) -> Unit)? = null
         private var timer: ScheduledFuture<*>? = null
 
@@ -93,6 +101,7 @@
 
         fun start(uri: String, timeoutMs: Long, whenDone: (Fetched) -> Unit) {
             done = whenDone
+            receivedBytes = 0
             val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri)
             request.headers().set(HttpHeaderNames.HOST, address.toString())
             channel.writeAndFlush(request)
@@ -102,12 +111,20 @@
                 }, timeoutMs, TimeUnit.MILLISECONDS)
         }
 
+        override fun arrived(bytes: Int): Boolean {
+            receivedBytes += bytes
+            if (done != null && receivedBytes <= maxBytes) return true
+            fail("bytes without end or without a call")
+            return false
+        }
+
         override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
             try {
                 val answer = message as? FullHttpResponse
                 if (answer == null || done == null || answer.decoderResult().isFailure) {
                     return fail("not an answer")
                 }
+                if (answer.status().code() < FIRST_FINAL_STATUS) return
                 val bytes = ByteArray(answer.content().readableBytes())
                 answer.content().readBytes(bytes)
                 if (HttpUtil.isKeepAlive(answer)) idle[address] = this else channel.close()
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -117,6 +117,8 @@
     /** Plain calls on the same thread. */
     val fetcher: Fetcher = RealFetcher(loop, localHost)
 
+    private val healthFetcher = RealFetcher(loop, localHost, MAX_HEALTH_BYTES)
+
     @Volatile
     override var entry = EntryView()
         private set
@@ -388,7 +390,7 @@
     private fun gossiped(received: GossipReceived) = events.post(received)
 
     private fun checkHealth(command: CheckHealth, isRepeated: Boolean = false) {
-        fetcher.get(command.address, command.path, HEALTH_TIMEOUT_MS) { result ->
+        healthFetcher.get(command.address, command.path, HEALTH_TIMEOUT_MS) { result ->
             if (!isRepeated && result is Fetched.Failed && result.isClosed) {
                 // A server may drop a kept connection without notice; only a new one tells whether it is there.
                 return@get checkHealth(command, isRepeated = true)
@@ -468,6 +470,7 @@
         const val BACKLOG = 1_024
         const val CHUNK_BYTES = 65_536
         const val RELAY_HEAD_BYTES = 1_024
+        const val MAX_HEALTH_BYTES = 65_536
         const val HEALTH_TIMEOUT_MS = 400L
         const val VIEW_TIMEOUT_MS = 1_500L
         const val VIEW_PATH = "/view"
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/EndlessBytesTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/EndlessBytesTest.kt
@@ -7,8 +7,12 @@
 import kotlin.concurrent.thread
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.pomeloladder.configuration.Address
+import org.pomeloladder.configuration.BackendServerId
 import org.pomeloladder.gateway.BreakReason
 import org.pomeloladder.gateway.CallId
+import org.pomeloladder.gateway.CheckHealth
+import org.pomeloladder.gateway.HealthRead
 import org.pomeloladder.gateway.NotRunReason
 import org.pomeloladder.gateway.SendEnded
 import org.pomeloladder.gateway.SendOutcome
@@ -296,6 +300,35 @@
         }
     }
 
+    private fun checkHealth(): Socket {
+        val address = Address("127.0.0.1", server.port)
+        traffic.execute(CheckHealth(BackendServerId("s"), address, "/health"))
+        return server.accept().apply { readHead() }
+    }
+
+    @Test
+    fun `informational heads before a health answer are left out`() {
+        checkHealth().write(CONTINUE + "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+        expectThat(traffic.await<HealthRead>().isHealthy).isTrue()
+    }
+
+    @Test
+    fun `blank lines without end after a health answer close the connection`() {
+        val connection = checkHealth()
+        connection.write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+        expectThat(traffic.await<HealthRead>().isHealthy).isTrue()
+        expectThat(isClosedIn(connection, "\r\n")).isTrue()
+    }
+
+    @Test
+    fun `a health answer without end is given up after few bytes`() {
+        val connection = checkHealth()
+        connection.write("HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n")
+        connection.write("x".repeat(100_000))
+        expectThat(traffic.await<HealthRead>().isHealthy).isEqualTo(false)
+        expectThat(isEnded(connection)).isTrue()
+    }
+
     private companion object {
         const val CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n"
         const val BLOCK_BYTES = 16_384
