Bound held answers together, not each, and count no paused send as quiet

The bound that protects the process is the one on all held answers, an eighth of the heap, beyond which the longest yields; it stays alone.

A send whose server waits for its caller no longer counts as quiet when another send is to take its place either.

--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -442,7 +442,6 @@
             gaps.clear()
         }
         for (send in sends.values) {
-            if (send.isPaused) continue
             val quietMs = send.quietMs(nowNanos)
             if (quietMs >= QUIET_MS) events.post(SendQuiet(send.id, quietMs))
         }
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -53,7 +53,9 @@
     val splitter = EventSplitter()
     val body = ByteArrayOutputStream()
 
-    fun quietMs(nowNanos: Long): Long = (nowNanos - quietSinceNanos) / NANOS_PER_MS
+    /** A server that waits for the caller does not count as quiet. */
+    fun quietMs(nowNanos: Long): Long =
+        if (isPaused) 0 else (nowNanos - quietSinceNanos) / NANOS_PER_MS
 
     /** What the traffic side has counted of [heldBytes]. */
     var countedBytes = 0
@@ -270,9 +272,7 @@
             return false
         }
         gate.held(active)
-        if (active.body.size() > MAX_ANSWER_BYTES || active.splitter.heldBytes > MAX_EVENT_BYTES) {
-            breakOff()
-        }
+        if (active.splitter.heldBytes > MAX_EVENT_BYTES) breakOff()
         return send === active
     }
 
@@ -396,6 +396,5 @@
         /** Most bytes without progress of the answer, foreign answers and dropped events among them. */
         const val MAX_IDLE_BYTES = 256L * 1024
         const val MAX_EVENT_BYTES = 64 * 1024
-        const val MAX_ANSWER_BYTES = 4 * 1024 * 1024
     }
 }
