Keep no exemplars and native histograms, which the text format does not show

Sampling exemplars woke a thread of its own 16 times a second in every process, 2% of an idle process's time, and native histograms made each observation of a tick dearer. Nothing showed either: metrics are exposed as text only.

--- a/runtime/src/main/kotlin/org/pomeloladder/runtime/Metrics.kt
+++ b/runtime/src/main/kotlin/org/pomeloladder/runtime/Metrics.kt
@@ -1,6 +1,7 @@
 /*
  * Metrics of one process, in its own registry. Label values are reason codes and never ids, so that their number stays
- * bounded.
+ * bounded. The text format shows neither exemplars nor native histograms, so neither is kept: sampling them wakes a thread
+ * of its own many times a second.
  */
 package org.pomeloladder.runtime
 
@@ -37,16 +38,18 @@
     private val registry = PrometheusRegistry()
     private val counters = DecisionCounter.entries.associateWith { counter ->
         Counter.builder().name(counter.metricName).help(counter.help)
-            .labelNames("reason").register(registry)
+            .labelNames("reason").withoutExemplars().register(registry)
     }
     private val latencies = Latency.entries.associateWith { latency ->
         Histogram.builder().name(latency.metricName).help(latency.help)
+            .classicOnly().withoutExemplars()
             .classicUpperBounds(*LATENCY_BOUNDS_SECONDS).register(registry)
     }
     private val ticks = Histogram.builder().name("pomeloladder_tick_seconds")
-        .help("Time of one tick of the control thread").register(registry)
+        .help("Time of one tick of the control thread")
+        .classicOnly().withoutExemplars().register(registry)
     private val tickEvents = Counter.builder().name("pomeloladder_events")
-        .help("Events handled by the control thread").register(registry)
+        .help("Events handled by the control thread").withoutExemplars().register(registry)
     private val configVersion =
         gauge("pomeloladder_config_version", "Configuration version in force, 0 before the first")
     private val configAge =
