End a stream whose caller has all events when a resumed run adds none

What callers saw: a stream broken off although they had every event. Cause: when a run delivers its last event and then breaks, the call is resumed after that event, and the next server answers a whole 200 without events. ServerConnection took that for a cut answer, and SendSystem for another answer than events, so the call was placed again or ended as STREAM_BROKEN. The same through a relay, where the peer broke the answer off. Change: a whole, signed 200 without events ends a stream when the caller has events already. It must have a length or a last chunk, since an unframed answer may have been cut after its head. A first run without events, a partial event and any other status are judged as before. Evidence: found by reading, not in a log. On the code before, three tests fail: "Expect that Broken(reason=TRUNCATED): is equal to Answered(status=200)" (own server; relay) and "Expect that [RefuseCall(call=1, reason=STREAM_BROKEN, retryAfterMs=null)]: is empty". The other tests added here hold what stays and pass before and after.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -126,8 +126,8 @@
                 state.callMs + CALL_WEIGHT * (tookMs - state.callMs)
             }
         }
-        if (call.isStreamStarted && !send.isStarted) {
-            // A resumed stream got another answer than events.
+        if (call.isStreamStarted && !send.isStarted && status !in SUCCESS) {
+            // A resumed stream got another answer than events or their end.
             avoid(call, send)
             return placer.place(world, tick, call)
         }
@@ -292,6 +292,7 @@
 
     private companion object {
         const val SERVER_ERROR = 500
+        val SUCCESS = 200..299
 
         /** Below this many tokens the time to the first event says little about the prompt. */
         const val LEAST_TOKENS_TO_LEARN = 500L
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -349,7 +349,8 @@
     }
 
     private fun judge(active: ActiveSend, read: AnswerHead): SendOutcome = verdict ?: when {
-        active.isStream && read.isSuccess -> SendOutcome.Broken(BreakReason.TRUNCATED)
+        active.isStream && read.isSuccess && !isEndOfStream(active) ->
+            SendOutcome.Broken(BreakReason.TRUNCATED)
         else -> SendOutcome.Answered(read.status)
     }
 
@@ -370,6 +371,11 @@
         else -> null
     }
 
+    /** Whether an answer without events says that the caller has the last one already. */
+    private fun isEndOfStream(active: ActiveSend) = active.exchange.lastEventId != null &&
+        !active.splitter.hasPartialEvent &&
+        !isUnframed()
+
     private fun finish(outcome: SendOutcome) {
         val load = head?.load
         val active = leave() ?: return
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
@@ -291,6 +291,31 @@
         expectThat(gateway.world.backends.sumOf { it.inFlight }).isEqualTo(1)
     }
 
+    /** A stream on [brief] broke after its first event and was resumed; the resumed send. */
+    private fun resumedStream(): StartSend {
+        val first = gateway.call(brief).second.only<StartSend>()
+        gateway.tick(SendStarted(first.send, null))
+        return gateway.tick(broken(first)).only<StartSend>()
+    }
+
+    // Guards against a stream that is broken off although its caller has all events.
+    @Test
+    fun `a resumed stream without further events is complete`() {
+        val after = gateway.tick(SendEnded(resumedStream().send, SendOutcome.Answered(200), null))
+
+        expectThat(after.all<StartSend>()).isEmpty()
+        expectThat(after.all<RefuseCall>()).isEmpty()
+        expectThat(after.all<EndStream>()).hasSize(1)
+    }
+
+    @Test
+    fun `a resumed stream that is answered with an error is not complete`() {
+        val after = gateway.tick(SendEnded(resumedStream().send, SendOutcome.Answered(400), null))
+
+        expectThat(after.all<EndStream>()).isEmpty()
+        expectThat(after.only<RefuseCall>().reason).isEqualTo(CallRefusal.STREAM_BROKEN)
+    }
+
     @Test
     fun `a caller that leaves while another place is opened stops both sends`() {
         val (call, commands) = gateway.call(brief)
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
@@ -1,11 +1,14 @@
 package org.pomeloladder.traffic
 
+import io.netty.handler.codec.http.DefaultHttpHeaders
 import java.util.concurrent.TimeUnit
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.pomeloladder.configuration.Address
 import org.pomeloladder.configuration.BackendServerId
+import org.pomeloladder.configuration.VmId
 import org.pomeloladder.gateway.BreakReason
+import org.pomeloladder.gateway.CallId
 import org.pomeloladder.gateway.CallerLeft
 import org.pomeloladder.gateway.CancelSend
 import org.pomeloladder.gateway.CheckHealth
@@ -172,6 +175,72 @@
         expectThat(body.toString()).endsWith("0\r\n\r\n")
     }
 
+    /** A stream of [call] whose server gave event 1 and then closed without the end of its answer. */
+    private fun loseEnd(call: CallId) {
+        traffic.send(call, server, isStream = true)
+        val first = server.accept().apply { readHead() }
+        first.write(streamHead("r1") + chunk("id: 1\ndata: a\n\n"))
+        traffic.await<SendStarted>()
+        first.close()
+        traffic.await<SendEnded>()
+    }
+
+    // Guards against a stream that is broken off although its caller has all events.
+    @Test
+    fun `a stream that lost only its end is complete after a resumed run without events`() {
+        val caller = traffic.caller()
+        val call = traffic.request(caller, "r1")
+        loseEnd(call)
+        traffic.send(call, server, isStream = true)
+        server.accept().apply { readHead() }.write(streamHead("r1") + "0\r\n\r\n")
+
+        expectThat(traffic.await<SendEnded>().outcome).isEqualTo(SendOutcome.Answered(200))
+        caller.close()
+    }
+
+    // Guards against a relayed stream that is broken off although its caller has all events.
+    @Test
+    fun `a peer is told that no events follow the last one that its caller has`() {
+        val peer = traffic.peer()
+        val envelope = DefaultHttpHeaders()
+        Relay.write(envelope, RelayEnvelope(VmId("other"), 1, 5_000, resumeAfter = 1))
+        val fields = envelope.joinToString("") { "${it.key}: ${it.value}\r\n" }
+        val call = traffic.request(peer, "r1", fields = fields)
+        val send = traffic.send(call, server, isStream = true)
+        server.accept().apply { readHead() }.write(streamHead("r1") + "0\r\n\r\n")
+
+        expectThat(traffic.await<SendEnded>().outcome).isEqualTo(SendOutcome.Answered(200))
+        traffic.execute(DeliverAnswer(call, send))
+        expectThat(peer.readHead()).contains("signed: 1").contains("content-length: 0")
+    }
+
+    @Test
+    fun `a resumed run without events that may be cut off is not the end of a stream`() {
+        val caller = traffic.caller()
+        val call = traffic.request(caller, "r1")
+        loseEnd(call)
+        traffic.send(call, server, isStream = true)
+        server.accept().apply { readHead() }.run {
+            write("HTTP/1.1 200 OK\r\nid: r1\r\nsigned: 1\r\n\r\n")
+            close()
+        }
+
+        expectThat(traffic.await<SendEnded>().outcome)
+            .isEqualTo(SendOutcome.Broken(BreakReason.TRUNCATED))
+        caller.close()
+    }
+
+    @Test
+    fun `a first run without events is not the whole of a stream`() {
+        val caller = traffic.caller()
+        traffic.send(traffic.request(caller, "r1"), server, isStream = true)
+        server.accept().apply { readHead() }.write(streamHead("r1") + "0\r\n\r\n")
+
+        expectThat(traffic.await<SendEnded>().outcome)
+            .isEqualTo(SendOutcome.Broken(BreakReason.TRUNCATED))
+        caller.close()
+    }
+
     // Guards against a live server that is taken for gone after it dropped a kept connection.
     @Test
     fun `a health check is made again when a server closes its connection in place of an answer`() {
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/TestTraffic.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/TestTraffic.kt
@@ -89,6 +89,9 @@
 
     fun caller(): Socket = Socket(LOOPBACK, ports[0])
 
+    /** A connection of a peer. */
+    fun peer(): Socket = Socket(LOOPBACK, ports[1])
+
     fun execute(command: GatewayCommand) = traffic.execute(command)
 
     /** Starts a send of [call] to [server]. */
@@ -128,8 +131,8 @@
         event is SendQuiet || event is ServersHeard || event is TrafficTimed
 
     /** Sends a request over [socket] and returns its call. */
-    fun request(socket: Socket, id: String, body: String = ""): CallId {
-        val head = "POST /x HTTP/1.1\r\nhost: h\r\nid: $id\r\n" +
+    fun request(socket: Socket, id: String, body: String = "", fields: String = ""): CallId {
+        val head = "POST /x HTTP/1.1\r\nhost: h\r\nid: $id\r\n" + fields +
             "content-length: ${body.length}\r\n\r\n"
         socket.getOutputStream().write((head + body).toByteArray())
         return await<CallArrived>().call
