Give the retry of a replacement back when the run it was for ends first

What callers saw: a stream broken off for want of budget although a retry had been paid for and not sent. Cause: a move takes a retry when it starts to open a connection. When the quiet run ended before that, the replacement was stopped without giving the retry back, and resuming the call had to take a second one. Change: the retry is given back. The traffic thread reports the end of a run only when no other one has taken its place, and none can afterwards, so the replacement is certain not to be sent. Ruled out: the same when a caller leaves or a limit passes, since the replacement may be on its way by then. Evidence: found by reading. On the code before, the test fails: "Expect that [RefuseCall(call=1, reason=STREAM_BROKEN, retryAfterMs=300)]: is empty".

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -92,7 +92,11 @@
             learnFailure(backend, event.outcome)
         }
         if (call == null) return
-        stopNext(world, tick, call)
+        if (call.next != null) {
+            // The other send can no longer take this one's place, so it never leaves.
+            stopNext(world, tick, call)
+            world.service(call.service).budget.giveBack()
+        }
         call.current = null
         logEnd(tick, call, send, event.outcome, event)
         if (event.outcome is SendOutcome.Answered && call.arrivals == 0) {
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
@@ -291,6 +291,20 @@
         expectThat(gateway.world.backends.sumOf { it.inFlight }).isEqualTo(1)
     }
 
+    // Guards against a stream that is broken off for want of a retry that was paid for and not sent.
+    @Test
+    fun `a run that breaks while another place is opened is resumed with the retry taken for it`() {
+        val first = quietStream(1_500)
+        val moved = gateway.tick(SendQuiet(first.send, 1_500)).only<StartSend>()
+        val budget = gateway.world.service(MODEL).budget
+        while (budget.take(gateway.nowMs, gateway.world.bounds, 1)) Unit
+        val after = gateway.tick(broken(first), SendUnsent(moved.send, UnsentReason.NOT_NEEDED))
+
+        expectThat(after.all<RefuseCall>()).isEmpty()
+        expectThat(after.all<StartSend>()).hasSize(1)
+        expectThat(budget.take(gateway.nowMs, gateway.world.bounds, 1)).isEqualTo(false)
+    }
+
     /** A stream on [brief] broke after its first event and was resumed; the resumed send. */
     private fun resumedStream(): StartSend {
         val first = gateway.call(brief).second.only<StartSend>()
