Count the sends that a server still has when its entry comes back

What callers would see: calls crowded at servers that seem idle, after the platform was away. Cause: a server whose entry is missing for 2.2 s is dropped from the table, while its sends go on. When the entry came back, the new row began at zero, and each send that ended took it below: a server with eight such calls then counted as having -8 for as long as its row lasted. Change: a new row counts the sends under way at its server, and their prompt tokens. Ruled out: stopping the sends of a dropped server, which may be alive. Evidence: found by reading. On the code before, the test fails: "Expect that {0: -1}: is equal to {1: 0}".

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
@@ -85,7 +85,7 @@
         val present = HashSet<BackendServerId>()
         for (record in view.backends) {
             present += record.id
-            val backend = world.backends.getOrPut(record.id) { newBackend(record, tick) }
+            val backend = world.backends.getOrPut(record.id) { newBackend(world, record, tick) }
             update(backend, record, tick)
             backend.missingSinceMs = null
             if (record.domain in returned && world.regionOf(record.domain) == world.self.region) {
@@ -98,7 +98,11 @@
         }
     }
 
-    private fun newBackend(record: BackendRecord, tick: GatewayTick): Backend {
+    private fun newBackend(
+        world: GatewayWorld,
+        record: BackendRecord,
+        tick: GatewayTick,
+    ): Backend {
         val details = mapOf(
             "server" to record.id,
             "service" to record.service,
@@ -106,7 +110,14 @@
             "coldForMs" to record.coldForMs,
         )
         tick.journal.log(LogEvent.BACKEND_ADDED, details)
-        return Backend(record).apply { coldUntilMs = tick.nowMs + record.coldForMs }
+        val backend = Backend(record).apply { coldUntilMs = tick.nowMs + record.coldForMs }
+        // Sends outlive the row of a server whose entry was away.
+        for (send in world.sends) {
+            if (send.place != SendPlace.AtServer(record.id)) continue
+            backend.inFlight++
+            backend.pendingPromptTokens += send.pendingTokens
+        }
+        return backend
     }
 
     private fun update(backend: Backend, record: BackendRecord, tick: GatewayTick) {
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ViewSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ViewSystemTest.kt
@@ -40,6 +40,21 @@
         expectThat(gateway.world.backends.toList()).hasSize(1)
     }
 
+    // Guards against a server that is taken for idle after its entry was away for longer than it is kept.
+    @Test
+    fun `a server that comes back after it was dropped still counts the calls that it has`() {
+        val slow = route("slow") { timeoutMs = 20_000 }
+        gateway.publish(1, catalog(slow), server("a"))
+        val send = gateway.call(slow, budgetMs = 20_000).second.only<StartSend>()
+        gateway.publish(2, catalog(slow))
+        gateway.tick(afterMs = 3_000)
+        gateway.publish(3, catalog(slow), server("a"))
+        val during = gateway.world.backends.single().inFlight
+        gateway.tick(SendEnded(send.send, SendOutcome.Answered(200), null))
+
+        expectThat(during to gateway.world.backends.single().inFlight).isEqualTo(1 to 0)
+    }
+
     @Test
     fun `a server whose entry stays away is dropped before the bound on drains`() {
         gateway.publish(1, catalog(lookup), server("a"))
