Stop a process only after calls whose arrival crossed the decision

What callers would see: a connection closed without an answer at the end of a shutdown. Cause: the control thread decides to stop when its table of calls is empty. A call that the traffic thread had taken by then, or took before the command came, was dropped with the process. Change: the traffic thread reports the stop when no call is open either. Calls get at most the time up to the reserve for ending the process, so a stop at the end of the grace period waits for none, as before. Evidence: found by reading. On the code before, the test fails: the stop comes while a call is open ("Expect that kotlin.Unit: is null"). With the change SendSystemTest, GatewayTrafficTest, ViewSystemTest, ShutdownSystemTest and CallSystemTest pass (69 tests).

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
@@ -93,6 +93,7 @@
 
 /**
  * Ends the process: all calls are over or the time for them is up. Answers that are being written are finished when that
- * takes no longer than [withinMs].
+ * takes no longer than [withinMs], and so are calls whose arrival crossed this command when they take no longer than
+ * [callsWithinMs].
  */
-data class StopGateway(val withinMs: Long) : GatewayCommand
+data class StopGateway(val withinMs: Long, val callsWithinMs: Long) : GatewayCommand
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ShutdownSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ShutdownSystem.kt
@@ -35,8 +35,12 @@
         val isTimeUp = elapsedMs >= world.bounds.shutdownGraceMs - STOP_RESERVE_MS
         if (isTimeUp || haveCallersMoved && world.calls.size == 0) {
             process.isStopped = true
-            val leftMs = world.bounds.shutdownGraceMs - CLOSE_RESERVE_MS - elapsedMs
-            tick.give(StopGateway(withinMs = leftMs.coerceAtLeast(0)))
+            val leftMs = world.bounds.shutdownGraceMs - elapsedMs
+            val stop = StopGateway(
+                withinMs = (leftMs - CLOSE_RESERVE_MS).coerceAtLeast(0),
+                callsWithinMs = (leftMs - STOP_RESERVE_MS).coerceAtLeast(0),
+            )
+            tick.give(stop)
         }
         tick.wakeAt(tick.nowMs + CHECK_INTERVAL_MS)
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -198,16 +198,26 @@
             is CheckHealth -> checkHealth(command)
             is DropConnections -> pool.drop(command.server)
             is PublishEntryView -> publish(command.view)
-            is StopGateway ->
-                stop(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(command.withinMs))
+            is StopGateway -> {
+                val nowNanos = System.nanoTime()
+                stop(
+                    untilNanos = nowNanos + command.withinMs * NANOS_PER_MS,
+                    callsUntilNanos = nowNanos + command.callsWithinMs * NANOS_PER_MS,
+                )
+            }
         }
     }
 
-    /** Reports the stop when no answer is being written any more, at the latest at [untilNanos]. */
-    private fun stop(untilNanos: Long) {
-        val isWriting = connections.any { it.isWriting }
-        if (!isWriting || System.nanoTime() >= untilNanos) return onStop()
-        loop.schedule({ stop(untilNanos) }, STOP_CHECK_MS, TimeUnit.MILLISECONDS)
+    /**
+     * Reports the stop when no answer is being written any more, at the latest at [untilNanos], and no call is open, at
+     * the latest at [callsUntilNanos].
+     */
+    private fun stop(untilNanos: Long, callsUntilNanos: Long) {
+        val nowNanos = System.nanoTime()
+        val isWriting = nowNanos < untilNanos && connections.any { it.isWriting }
+        val isServing = nowNanos < callsUntilNanos && exchanges.isNotEmpty()
+        if (!isWriting && !isServing) return onStop()
+        loop.schedule({ stop(untilNanos, callsUntilNanos) }, STOP_CHECK_MS, TimeUnit.MILLISECONDS)
     }
 
     override fun open(request: ReadRequest, isRelay: Boolean, sink: AnswerSink): Exchange? {
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
@@ -9,6 +9,7 @@
 import org.pomeloladder.configuration.VmId
 import org.pomeloladder.gateway.BreakReason
 import org.pomeloladder.gateway.CallId
+import org.pomeloladder.gateway.CallRefusal
 import org.pomeloladder.gateway.CallerLeft
 import org.pomeloladder.gateway.CancelSend
 import org.pomeloladder.gateway.CheckHealth
@@ -16,6 +17,7 @@
 import org.pomeloladder.gateway.EndStream
 import org.pomeloladder.gateway.FetchView
 import org.pomeloladder.gateway.HealthRead
+import org.pomeloladder.gateway.RefuseCall
 import org.pomeloladder.gateway.Replaced
 import org.pomeloladder.gateway.SendEnded
 import org.pomeloladder.gateway.SendOutcome
@@ -317,7 +319,7 @@
         server.accept().apply { readHead() }.write(answer("r1", body))
         traffic.await<SendEnded>()
         traffic.execute(DeliverAnswer(call, send))
-        traffic.execute(StopGateway(withinMs = PATIENCE_MS.toLong()))
+        traffic.execute(StopGateway(withinMs = PATIENCE_MS.toLong(), callsWithinMs = 0))
         val early = traffic.stops.poll(SETTLE_MS, TimeUnit.MILLISECONDS)
         caller.readHead()
         val read = caller.getInputStream().readNBytes(LONG_BODY)
@@ -335,12 +337,27 @@
         server.accept().apply { readHead() }.write(answer("r1", "x".repeat(LONG_BODY)))
         traffic.await<SendEnded>()
         traffic.execute(DeliverAnswer(call, send))
-        traffic.execute(StopGateway(withinMs = 0))
+        traffic.execute(StopGateway(withinMs = 0, callsWithinMs = 0))
 
         expectThat(traffic.stops.poll(PATIENCE_MS.toLong(), TimeUnit.MILLISECONDS)).isNotNull()
         caller.close()
     }
 
+    // Guards against a call that is dropped because its arrival crossed the command to stop.
+    @Test
+    fun `the process stops after a call that arrived while it was told to`() {
+        val caller = traffic.caller()
+        val call = traffic.request(caller, "r1")
+        val limitMs = PATIENCE_MS.toLong()
+        traffic.execute(StopGateway(withinMs = limitMs, callsWithinMs = limitMs))
+        val early = traffic.stops.poll(SETTLE_MS, TimeUnit.MILLISECONDS)
+        traffic.execute(RefuseCall(call, CallRefusal.DRAINING, null))
+
+        expectThat(early).isNull()
+        expectThat(caller.readHead()).startsWith("HTTP/1.1 503")
+        expectThat(traffic.stops.poll(limitMs, TimeUnit.MILLISECONDS)).isNotNull()
+    }
+
     @Test
     fun `a refused connection counts as unsent`() {
         val caller = traffic.caller()
