--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
@@ -140,4 +140,20 @@
         expectThat(gateway.call(brief, chat).second.only<StartSend>().target)
             .isA<SendTarget.Peer>()
     }
+
+    // Guards against prompts that stay in a crowded region since its waits make all prompts look slow.
+    @Test
+    fun `waits with other causes hardly change what reading a prompt is expected to take`() {
+        gateway.publish(1, catalog(brief), engine("m1"))
+        val before = gateway.world.service(MODEL).msPerPromptToken
+        repeat(60) {
+            val send = gateway.call(brief, prompt(thing = 1_000L + it, own = it.toLong()))
+                .second.only<StartSend>()
+            val isCrowded = it % 3 != 0
+            gateway.tick(SendStarted(send.send, null), afterMs = if (isCrowded) 1_500 else 120)
+            gateway.tick(SendEnded(send.send, SendOutcome.Answered(200), null))
+        }
+
+        expectThat(gateway.world.service(MODEL).msPerPromptToken).isLessThan(before * 2)
+    }
 }
