Use different engines for long prompts and long answers

Cause: an engine reads prompts between the events of its streams, and a few long prompts in a row stop all of them. Each call chose among a few engines by figures that are up to a second old, so long prompts met at an engine by chance and long answers were everywhere.

Change: all VMs give the engines of a region the same order. Long prompts use its first part, long answers the rest; the boundary follows the work that all VMs placed there, and a call crosses it when its side is crowded.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
@@ -15,6 +15,7 @@
         ViewSystem(),
         ServerSystem(),
         PeerSystem(self, placement),
+        SideSystem(),
         SendSystem(placer),
         CallSystem(placer),
         ShutdownSystem(),
