Keep peers' connections for a fixed time, whatever the limit for callers

Cause: the listener for relayed calls closed idle connections by the operators' limit for callers, which a change of the configuration may shorten at any time, while the other VM reuses them for up to 8 s.

Evidence: named as a suspicion by the review of the incident. On the code before, the test fails: "no event within 10000 ms", the peer's request never arrives. It passes now.

Change: relay connections stay open for 12 s of idle time, longer than peers reuse them.

--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/CallerConnection.kt
@@ -241,11 +241,9 @@
         if (exchange != null || isClosing) return
         val limits = gate.entry.limits
         val quietMs = (nowNanos - quietSinceNanos) / NANOS_PER_MS
-        val mostMs = if (isReading) {
-            maxOf(limits.headerTimeoutMs, limits.idleTimeoutMs)
-        } else {
-            limits.idleTimeoutMs
-        }
+        // Operators' limits are for callers; peers reuse connections by their own fixed time.
+        val idleMs = if (isRelay) RELAY_IDLE_MS else limits.idleTimeoutMs
+        val mostMs = if (isReading) maxOf(limits.headerTimeoutMs, idleMs) else idleMs
         if (quietMs > mostMs) closeNow()
     }
 
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerPool.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerPool.kt
@@ -27,8 +27,9 @@
 /** A request that cannot be repeated is not risked on a connection that was idle for longer. */
 private const val UNSAFE_KEEP_MS = 1_500L
 
-/** A peer keeps idle connections for as long as this process does. */
+/** Idle connections to peers are kept for less time than the peers keep them, so that no close crosses a request. */
 private const val PEER_KEEP_MS = 8_000L
+internal const val RELAY_IDLE_MS = 12_000L
 
 /** Seconds of silence before a probe, between probes, and their number: a silent connection ends after about 3 s. */
 private const val PROBE_IDLE_S = 1
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
@@ -11,12 +11,15 @@
 import org.pomeloladder.gateway.CallId
 import org.pomeloladder.gateway.CallRefusal
 import org.pomeloladder.gateway.CallerLeft
+import org.pomeloladder.gateway.CallerLimits
 import org.pomeloladder.gateway.CancelSend
 import org.pomeloladder.gateway.CheckHealth
 import org.pomeloladder.gateway.DeliverAnswer
 import org.pomeloladder.gateway.EndStream
+import org.pomeloladder.gateway.EntryView
 import org.pomeloladder.gateway.FetchView
 import org.pomeloladder.gateway.HealthRead
+import org.pomeloladder.gateway.PublishEntryView
 import org.pomeloladder.gateway.RefuseCall
 import org.pomeloladder.gateway.Replaced
 import org.pomeloladder.gateway.SendEnded
@@ -200,6 +203,22 @@
         caller.close()
     }
 
+    // Guards against relayed calls that are lost because operators' idle limit for callers closed a peer's connection.
+    @Test
+    fun `a peer's idle connection outlives a short idle limit for callers`() {
+        val peer = traffic.peer()
+        val caller = traffic.caller().apply { soTimeout = PATIENCE_MS }
+        traffic.execute(PublishEntryView(EntryView(limits = CallerLimits(idleTimeoutMs = 200))))
+        val callerEnd = caller.getInputStream().read()
+        val envelope = DefaultHttpHeaders()
+        Relay.write(envelope, RelayEnvelope(VmId("other"), 1, 5_000))
+        val fields = envelope.joinToString("") { "${it.key}: ${it.value}\r\n" }
+
+        expectThat(callerEnd).isEqualTo(-1)
+        traffic.request(peer, "r1", fields = fields)
+        peer.close()
+    }
+
     // Guards against a relayed stream that is broken off although its caller has all events.
     @Test
     fun `a peer is told that no events follow the last one that its caller has`() {
