--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Candidates.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Candidates.kt
@@ -21,6 +21,9 @@
 /** Servers of the call's side among them, the preferred ones included. */
 private const val SIDE_COMPARED = 5
 
+/** Prompt tokens that take an engine about as long as one generated token in a batch of usual size. */
+private const val PROMPT_TOKENS_PER_OUTPUT_TOKEN = 10
+
 /** The work of a call that takes most of an engine's time. */
 enum class WorkSide { READING, GENERATING }
 
@@ -58,6 +61,3 @@
     WorkSide.READING -> backend.position < state.readingPart
     WorkSide.GENERATING -> backend.position >= state.readingPart
 }
-
-/** Prompt tokens that take an engine about as long as one generated token in a batch of usual size. */
-private const val PROMPT_TOKENS_PER_OUTPUT_TOKEN = 10
