--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallCosts.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallCosts.kt
@@ -12,11 +12,8 @@
     /** A delay of the whole answer weighs less than one of its first event. */
     private const val INTERFERENCE_WEIGHT = 0.08
 
-    /** A call leaves its side when the wait there is longer by this. */
-    private const val OTHER_SIDE_MS = 400.0
-
     /** Time for which recent prompt tokens stand. */
-    const val RECENT_PROMPTS_S = 2.0
+    private const val RECENT_PROMPTS_S = 2.0
     private const val MS_PER_S = 1_000.0
 
     /** Order of magnitude of a batch step. */
@@ -75,9 +72,13 @@
         return INTERFERENCE_WEIGHT * (heldUpMs + holdsUpMs)
     }
 
-    /** What it weighs that [backend] does the other kind of work. */
-    fun otherSideMs(prompt: Prompt, backend: Backend, state: ServiceState): Double =
-        if (isOn(state, sideOf(prompt), backend)) 0.0 else OTHER_SIDE_MS
+    /** What the prompt of [call] does to the answers of an engine with the mean load of another region. */
+    fun interferenceThereMs(world: GatewayWorld, call: Call, load: ServiceLoad): Double {
+        val tokens = call.spec.prompt?.promptTokens ?: return 0.0
+        val slots = world.catalog?.service(call.service)?.engine?.slots ?: return 0.0
+        val running = slots.toDouble() * load.inUse / load.places
+        return INTERFERENCE_WEIGHT * tokens * world.service(call.service).msPerPromptToken * running
+    }
 
     /**
      * What is gained by the shared tokens that [backend] has, or would get if every process chose the same server for
@@ -98,14 +99,17 @@
         return counted * state.msPerPromptToken * CACHE_WEIGHT
     }
 
-    /** What reading [tokens] takes beyond the typical prompt of the summary. */
-    fun beyondTypicalMs(tokens: Int, state: ServiceState): Double =
-        (tokens - TYPICAL_PROMPT_TOKENS).coerceAtLeast(0) * state.msPerPromptToken
+    /** What the prompt takes beyond the typical one of the summary, since another region's caches may lack all of it. */
+    fun coldPromptMs(world: GatewayWorld, call: Call): Double {
+        val tokens = call.spec.prompt?.promptTokens ?: return 0.0
+        val beyond = (tokens - TYPICAL_PROMPT_TOKENS).coerceAtLeast(0)
+        return beyond * world.service(call.service).msPerPromptToken
+    }
 
-    /** Prompt tokens that [backend] has to read; all when there is none. */
-    fun uncachedTokens(prompt: Prompt?, backend: Backend?): Int {
+    /** Prompt tokens that [backend] has to read. */
+    fun uncachedTokens(prompt: Prompt?, backend: Backend): Int {
         if (prompt == null) return 0
-        return prompt.promptTokens - (backend?.cache?.cachedTokens(prompt.parts) ?: 0)
+        return prompt.promptTokens - backend.cache.cachedTokens(prompt.parts)
     }
 
     /** Expected time in milliseconds until [backend] gives its first event for a prompt of [tokens] uncached tokens. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -54,18 +54,11 @@
     val cache = PrefixCache()
     val pace = EventPace()
 
-    /** Place in the fixed order of its service's servers in its region: 0 for the first one, 1 for the last one. */
-    var position = MIDDLE
-
     /** Prompt tokens that this process sent lately, decaying; other VMs of the region tell theirs. */
     var recentPromptTokens = 0.0
 
     val load: Int
         get() = inFlight + peerInFlight
-
-    private companion object {
-        const val MIDDLE = 0.5
-    }
 }
 
 /** One other entry VM. */
@@ -160,9 +153,6 @@
 class ServiceState(val id: ServiceId) {
     val answers = AnswerLength()
 
-    /** Part of the engines of this region, from the start of their order, that long prompts use. */
-    var readingPart = EVEN
-
     /** Moving averages: prompt work and whole calls. */
     var msPerPromptToken = INITIAL_MS_PER_PROMPT_TOKEN
     var callMs = 0.0
@@ -173,6 +163,5 @@
     private companion object {
         /** Order of magnitude of today's accelerators; replaced by observations within seconds. */
         const val INITIAL_MS_PER_PROMPT_TOKEN = 0.02
-        const val EVEN = 0.5
     }
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
@@ -15,7 +15,6 @@
         ViewSystem(),
         ServerSystem(),
         PeerSystem(self, placement),
-        SideSystem(),
         SendSystem(placer),
         CallSystem(placer),
         ShutdownSystem(),
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
@@ -54,11 +54,6 @@
     private var peersHere: List<Peer> = emptyList()
     private var peersHereVersion = -1L
 
-    /** Servers of this region by service in the fixed order; kept by [ViewSystem]. */
-    var serversHere: Map<ServiceId, List<Backend>> = emptyMap()
-
-    fun serversHere(service: ServiceId): List<Backend> = serversHere[service].orEmpty()
-
     fun regionOf(domain: FailureDomainId): RegionId? = regions[domain]
 
     /** Live peers of this region that take calls, without this process. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
@@ -38,9 +38,8 @@
 )
 
 /**
- * What a region has of a service. [waitMs] is the expected wait of a call that is placed well; at engines that of one
- * that mostly reads, and [generatingWaitMs] that of one that mostly generates. [eventGapMs] is the time between two
- * events of a long answer.
+ * What a region has of a service. [waitMs] is the expected wait of a call that is placed well, [eventGapMs] the time
+ * between two events of its answer.
  */
 @Serializable
 data class ServiceLoad(
@@ -49,7 +48,6 @@
     @SerialName("c") val inUse: Int,
     @SerialName("d") val waitMs: Long,
     @SerialName("e") val eventGapMs: Float = 0f,
-    @SerialName("f") val generatingWaitMs: Long = waitMs,
 )
 
 /** A shared part that was sent to a server. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -6,6 +6,7 @@
 
 import kotlin.random.Random
 import org.pomeloladder.configuration.ServiceId
+import org.pomeloladder.decisions.rendezvousOrder
 
 /** Where a call should go. */
 sealed interface Choice {
@@ -37,9 +38,7 @@
         if (call.spec.origin is CallOrigin.Peer) return here ?: orElse(world, call, nowMs, random)
         // No other region can be better by the margin.
         if (here != null && here.costMs <= REGION_MARGIN_MS) return here
-        // What is shared widely is cached in every region, and the rest in none.
-        val uncachedTokens = CallCosts.uncachedTokens(call.spec.prompt, here?.backend)
-        val there = chooseThere(world, call, nowMs, random, uncachedTokens)
+        val there = chooseThere(world, call, nowMs, random)
         return when {
             here == null && there == null -> orElse(world, call, nowMs, random)
             here == null -> checkNotNull(there)
@@ -49,38 +48,31 @@
     }
 
     override fun summary(world: GatewayWorld, service: ServiceId, nowMs: Long): ServiceLoad {
-        val usable = world.serversHere(service).filter { isUsable(world, it, nowMs) }
+        val usable = world.backends.filter {
+            it.record.service == service && isUsable(world, it, nowMs)
+        }
         val state = world.service(service)
-        val reading = typical(world, state, serversOf(state, WorkSide.READING, usable))
-        val generating = typical(world, state, serversOf(state, WorkSide.GENERATING, usable))
+        val typical = usable
+            .map {
+                CallCosts.firstEventMs(
+                    it,
+                    state,
+                    CallCosts.TYPICAL_PROMPT_TOKENS,
+                    isEngine(world, it),
+                ) to
+                    it
+            }
+            .sortedBy { it.first }
+            .getOrNull(usable.size / TYPICAL_WAIT_PART)
         return ServiceLoad(
             service = service,
             places = usable.sumOf { it.record.slots },
             inUse = usable.sumOf { it.load },
-            waitMs = reading?.waitMs ?: NO_WAIT_KNOWN_MS,
-            eventGapMs = generating?.backend?.pace?.gapMs(nowMs)?.toFloat() ?: 0f,
-            generatingWaitMs = generating?.waitMs ?: NO_WAIT_KNOWN_MS,
+            waitMs = typical?.first?.toLong() ?: NO_WAIT_KNOWN_MS,
+            eventGapMs = typical?.second?.pace?.gapMs(nowMs)?.toFloat() ?: 0f,
         )
     }
 
-    private class Typical(val backend: Backend, val waitMs: Long)
-
-    /** The server that a call which compares a few of [servers] meets about. */
-    private fun typical(
-        world: GatewayWorld,
-        state: ServiceState,
-        servers: List<Backend>,
-    ): Typical? {
-        val tokens = CallCosts.TYPICAL_PROMPT_TOKENS
-        val byWait = servers
-            .map {
-                val waitMs = CallCosts.firstEventMs(it, state, tokens, isEngine(world, it))
-                Typical(it, waitMs.toLong())
-            }
-            .sortedBy { it.waitMs }
-        return byWait.getOrNull(servers.size / TYPICAL_WAIT_PART)
-    }
-
     /** A server that is leaving, when no other can be had. */
     private fun orElse(world: GatewayWorld, call: Call, nowMs: Long, random: Random): Choice =
         chooseHere(world, call, nowMs, random, ::isLastResort) ?: nowhere(world, call, nowMs)
@@ -94,17 +86,23 @@
     ): Choice.Here? {
         if (!call.route.allows(world.self.region)) return null
         val state = world.service(call.service)
-        val usable = world.serversHere(call.service).filter {
-            it.id !in call.avoided && isCandidate(world, it, nowMs) && hasColdRoom(world, it, nowMs)
+        val usable = world.backends.filter {
+            it.record.service == call.service &&
+                it.id !in call.avoided &&
+                isCandidate(world, it, nowMs) &&
+                hasColdRoom(world, it, nowMs)
         }
         if (usable.isEmpty()) return null
         val shared = call.spec.prompt?.sharedParts.orEmpty()
-        val candidates = candidatesOf(state, call.spec.prompt, usable, random)
+        val order = shared.lastOrNull()?.let { part ->
+            usable.rendezvousOrder(part.id.value) { it.id.value }
+        }
+        val preferred = order?.first()
         var best: Backend? = null
         var bestCost = Double.MAX_VALUE
         var bestWait = 0.0
         var bestBeside = 0.0
-        for (backend in candidates.servers) {
+        for (backend in candidates(usable, order, random)) {
             val tokens = CallCosts.uncachedTokens(call.spec.prompt, backend)
             val wait = CallCosts.firstEventMs(backend, state, tokens, call.spec.prompt != null)
             var cost = wait + random.nextDouble() * TIE_SPREAD_MS
@@ -115,10 +113,9 @@
                 call.spec.prompt
                     ?.let { CallCosts.interferenceMs(backend, it, tokens, state) } ?: 0.0
             cost += answer + interference
-            call.spec.prompt?.let { cost += CallCosts.otherSideMs(it, backend, state) }
             if (backend.missingSinceMs != null) cost += MISSING_COST_MS
             if (nowMs < backend.coldUntilMs) cost += COLD_COST_MS
-            cost -= CallCosts.cachedMs(shared, backend, candidates.preferred, state)
+            cost -= CallCosts.cachedMs(shared, backend, preferred, state)
             if (cost < bestCost) {
                 best = backend
                 bestCost = cost
@@ -129,12 +126,27 @@
         return Choice.Here(checkNotNull(best), bestWait, bestWait + bestBeside)
     }
 
+    /**
+     * The servers that are compared: all of a few, otherwise some at random beside the first in rendezvous order. What
+     * other processes placed is known late, so all of them would take the same server that was best a moment ago.
+     */
+    private fun candidates(
+        usable: List<Backend>,
+        order: List<Backend>?,
+        random: Random,
+    ): Collection<Backend> {
+        if (usable.size <= MOST_COMPARED) return usable
+        val chosen = LinkedHashSet<Backend>()
+        order?.let { chosen += it.subList(0, PREFERRED_COMPARED) }
+        while (chosen.size < MOST_COMPARED) chosen += usable[random.nextInt(usable.size)]
+        return chosen
+    }
+
     private fun chooseThere(
         world: GatewayWorld,
         call: Call,
         nowMs: Long,
         random: Random,
-        uncachedTokens: Int,
     ): Choice.There? {
         val byRegion = world.peers
             .filter { canRelay(world, call, it, nowMs) }
@@ -144,15 +156,14 @@
             val newest = peers.maxBy { it.heardMs }
             val load = newest.services[call.service] ?: continue
             if (load.places == 0) continue
+            val relayed = peers.sumOf { it.relayedSince }
+            val crowding = relayed.toDouble() / load.places
+            val wait = newest.roundTripMs + load.waitMs + CallCosts.coldPromptMs(world, call) +
+                (1 + load.waitMs) * crowding + random.nextDouble() * REGION_SPREAD_MS
+            val gapMs = load.eventGapMs.toDouble()
             val state = world.service(call.service)
-            val prompt = call.spec.prompt
-            val isGenerating = prompt != null && sideOf(prompt) == WorkSide.GENERATING
-            val typicalMs = if (isGenerating) load.generatingWaitMs else load.waitMs
-            val crowding = peers.sumOf { it.relayedSince }.toDouble() / load.places
-            val wait = newest.roundTripMs + typicalMs +
-                CallCosts.beyondTypicalMs(uncachedTokens, state) +
-                (1 + typicalMs) * crowding + random.nextDouble() * REGION_SPREAD_MS
-            val cost = wait + CallCosts.answerMs(call, state, load.eventGapMs.toDouble(), nowMs)
+            val cost = wait + CallCosts.answerMs(call, state, gapMs, nowMs) +
+                CallCosts.interferenceThereMs(world, call, load)
             if (best == null || cost < best.costMs) {
                 best = Choice.There(peers[random.nextInt(peers.size)], wait, cost)
             }
@@ -184,6 +195,12 @@
         world.catalog?.service(backend.record.service)?.engine != null
 
     companion object {
+        /** Servers that a call compares. Two at random already avoid most of the crowding that one would meet. */
+        private const val MOST_COMPARED = 6
+
+        /** Servers of them that rendezvous prefers for the call's shared parts. */
+        private const val PREFERRED_COMPARED = 2
+
         /** A call that compares a few servers meets about the wait that a quarter of them are below. */
         private const val TYPICAL_WAIT_PART = 4
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -44,9 +44,8 @@
     private fun learnPromptRate(state: ServiceState, send: Send, nowMs: Long) {
         if (send.workTokens < LEAST_TOKENS_TO_LEARN) return
         val seen = (nowMs - send.startedMs).toDouble() / send.workTokens
-        // Waits that have other causes make most samples too long, so the estimate follows a low quantile of them.
-        val step = if (seen < state.msPerPromptToken) -FASTER_STEP else SLOWER_STEP
-        state.msPerPromptToken *= 1 + step
+        val bounded = seen.coerceIn(state.msPerPromptToken / 2, state.msPerPromptToken * 2)
+        state.msPerPromptToken += PROMPT_RATE_WEIGHT * (bounded - state.msPerPromptToken)
         state.msPerPromptToken =
             state.msPerPromptToken.coerceIn(LEAST_MS_PER_TOKEN, MOST_MS_PER_TOKEN)
     }
@@ -301,10 +300,7 @@
 
         /** Below this many tokens the time to the first event says little about the prompt. */
         const val LEAST_TOKENS_TO_LEARN = 500L
-
-        /** Steps of the estimate; their ratio makes it settle where a quarter of the samples are below. */
-        const val FASTER_STEP = 0.03
-        const val SLOWER_STEP = 0.01
+        const val PROMPT_RATE_WEIGHT = 0.05
         const val LEAST_MS_PER_TOKEN = 0.002
         const val MOST_MS_PER_TOKEN = 0.5
         const val CALL_WEIGHT = 0.05
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
@@ -8,7 +8,6 @@
 import org.pomeloladder.configuration.FailureDomainId
 import org.pomeloladder.decisions.Counter
 import org.pomeloladder.decisions.LogEvent
-import org.pomeloladder.decisions.rendezvousOrder
 
 /**
  * Time for which a server whose entry disappeared stays usable. Entries that lapsed while the platform was away are back
@@ -25,9 +24,6 @@
 /** Time between two fetches; an answer takes at most a round trip between regions. */
 private const val FETCH_INTERVAL_MS = 500L
 
-/** Any fixed number: the same on all VMs. */
-private const val POSITION_KEY = 1L
-
 /** Applies views. */
 class ViewSystem : GatewaySystem {
     private var behindSinceMs: Long? = null
@@ -100,20 +96,6 @@
             if (backend.id in present || backend.missingSinceMs != null) continue
             backend.missingSinceMs = tick.nowMs
         }
-        order(world)
-    }
-
-    /** Gives the servers of this region their positions; all VMs that know the same servers give the same ones. */
-    private fun order(world: GatewayWorld) {
-        world.serversHere = world.backends
-            .filter { world.regionOf(it.record.domain) == world.self.region }
-            .groupBy { it.record.service }
-            .mapValues { (_, servers) -> servers.rendezvousOrder(POSITION_KEY) { it.id.value } }
-        for (servers in world.serversHere.values) {
-            servers.forEachIndexed { index, backend ->
-                backend.position = index.toDouble() / (servers.size - 1).coerceAtLeast(1)
-            }
-        }
     }
 
     private fun newBackend(
@@ -160,7 +142,6 @@
 
     private fun dropMissing(world: GatewayWorld, tick: GatewayTick) {
         var nextMs = Long.MAX_VALUE
-        val before = world.backends.size
         val holdMs = minOf(MISSING_HOLD_MS, world.bounds.drainMs - DRAIN_RESERVE_MS)
         world.backends.removeIf { backend ->
             val sinceMs = backend.missingSinceMs
@@ -172,7 +153,6 @@
             }
             isGone
         }
-        if (world.backends.size != before) order(world)
         if (nextMs != Long.MAX_VALUE) tick.wakeAt(nextMs)
     }
 
