Log what a process knows of a server when it sends a call there

Line 410 now names the last shared part of the prompt, the tokens that the server is thought to lack, its load, the tokens ahead and those read lately. No logic has changed.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -171,6 +171,7 @@
         val service = world.catalog?.service(call.service)
         val send = newSend(world, tick, call, SendPlace.AtServer(backend.id))
         send.expectedFirstMs = choice.waitMs
+        val known = knownOf(backend, call.spec.prompt)
         if (tick.nowMs < backend.coldUntilMs) backend.coldSends.addLast(tick.nowMs)
         backend.inFlight++
         call.spec.prompt?.let { prompt -> chargePrompt(world, backend, send, prompt, service) }
@@ -181,9 +182,17 @@
             maxConnections = (service?.maxConnections ?: 1) / region,
             isUnsafe = !call.route.isRepeatable,
         )
-        give(tick, call, send, target, CONNECT_TIMEOUT_MS, replaced)
+        give(tick, call, send, target, CONNECT_TIMEOUT_MS, replaced, known)
     }
 
+    /** What this process knows of [backend] when it sends [prompt] there. */
+    private fun knownOf(backend: Backend, prompt: Prompt?): Map<String, Any?> = mapOf(
+        "load" to backend.load,
+        "uncachedTokens" to prompt?.let { CallCosts.uncachedTokens(it, backend) },
+        "aheadTokens" to backend.pendingPromptTokens + backend.peerPendingTokens,
+        "recentTokens" to backend.recentPromptTokens.toLong() + backend.peerRecentTokens,
+    )
+
     private fun chargePrompt(
         world: GatewayWorld,
         backend: Backend,
@@ -241,6 +250,7 @@
         target: SendTarget,
         connectTimeoutMs: Long,
         replaced: Replaced?,
+        known: Map<String, Any?> = emptyMap(),
     ) {
         if (replaced == null) call.current = send.id else call.next = send.id
         val remainingMs = call.remainingMs(tick.nowMs)
@@ -264,8 +274,10 @@
             "expectedMs" to send.expectedFirstMs.toLong(),
             "remainingMs" to remainingMs,
             "arrivals" to call.arrivals,
+            "promptTokens" to call.spec.prompt?.promptTokens,
+            "sharedPart" to call.spec.prompt?.sharedParts?.lastOrNull()?.id,
         )
-        tick.journal.log(LogEvent.CALL_SENT, details)
+        tick.journal.log(LogEvent.CALL_SENT, details + known)
     }
 
     private fun retryAfterMs(waitMs: Double) =
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Ids.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Ids.kt
@@ -27,4 +27,10 @@
 /** A part of a prompt that several requests may share. */
 @Serializable
 @JvmInline
-value class PartId(val value: Long)
+value class PartId(val value: Long) {
+    override fun toString() = value.toULong().toString(HEX)
+
+    private companion object {
+        const val HEX = 16
+    }
+}
