--- /dev/null
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/SharedPartsTest.kt
@@ -0,0 +1,89 @@
+package org.pomeloladder.gateway
+
+import kotlin.random.Random
+import org.junit.jupiter.api.Tag
+import org.junit.jupiter.api.Test
+import org.pomeloladder.configuration.RegionId
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+
+/** Where a fleet of processes in three regions reads the shared parts of long prompts. */
+class SharedPartsTest {
+    private val fleet = TestFleet(vmsPerRegion = 4, enginesPerRegion = 8)
+    private val random = Random(5)
+    private val brief = route("brief") {
+        kind = RouteKind.STREAMING
+        service = MODEL
+        timeoutMs = 5_000
+        isResumable = true
+    }
+
+    private fun prompt(document: Int) = Prompt(
+        parts = listOf(
+            PromptPart(PartId(1L + document % HEADS), 2_500),
+            PromptPart(PartId(100L + document), 3_800),
+            PromptPart(PartId(random.nextLong()), 2_900),
+        ),
+        promptTokens = 9_200,
+        outputTokens = 50,
+    )
+
+    private fun send(region: RegionId) =
+        fleet.call(region, random.nextInt(4), brief, prompt(random.nextInt(DOCUMENTS)))
+
+    private fun start() {
+        fleet.publish(MODEL, brief)
+        fleet.run(3_000)
+    }
+
+    private fun readersOf(document: Int) =
+        fleet.engines.filter { PartId(100L + document) in it.readParts }
+
+    // Guards against shared parts that many engines of every region read and that push each other out there.
+    @Tag("known-red")
+    @Test
+    fun `a shared part is read by two engines of the whole fleet`() {
+        start()
+        fleet.run(8_000) { if (it % 20 == 0L) listOf(NORTH, SOUTH, EAST).forEach(::send) }
+
+        expectThat((0 until DOCUMENTS).filter { readersOf(it).size > 2 }).isEmpty()
+    }
+
+    // Guards against a region that keeps the long prompts of its peak while engines of others are idle.
+    @Tag("known-red")
+    @Test
+    fun `the long prompts of a peak in one region are read in all regions`() {
+        start()
+        fleet.run(6_000) {
+            send(NORTH)
+            if (it % 20 == 0L) send(NORTH)
+        }
+        val total = fleet.engines.sumOf { it.readTokens }
+        val here = fleet.engines.filter { it.region == NORTH }.sumOf { it.readTokens }
+        val late = fleet.firstEventsMs.count { it > OBJECTIVE_MS }
+
+        expectThat(here.toDouble() / total).isLessThan(0.6)
+        expectThat(fleet.firstEventsMs.size).isGreaterThan(1_000)
+        expectThat(late.toDouble() / fleet.firstEventsMs.size).isLessThan(0.05)
+    }
+
+    // Guards against a choice of engines that cannot be reached.
+    @Test
+    fun `a region that is cut off reads long prompts at its own engines`() {
+        start()
+        fleet.cutOff(NORTH)
+        fleet.run(4_000)
+        fleet.run(2_000) { if (it % 50 == 0L) send(NORTH) }
+        fleet.run(1_000)
+
+        expectThat(fleet.firstEventsMs.size).isGreaterThan(39)
+    }
+
+    private companion object {
+        const val HEADS = 4
+        const val DOCUMENTS = 60
+        const val OBJECTIVE_MS = 1_000L
+    }
+}
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestGateway.kt
@@ -18,6 +18,7 @@
 
 val NORTH = RegionId("north")
 val SOUTH = RegionId("south")
+val EAST = RegionId("east")
 val MODEL = ServiceId("model")
 val SHOP = ServiceId("shop")
 
@@ -88,14 +89,15 @@
     ),
 )
 
-/** One process under test in the region north. */
-internal class TestGateway(seed: Int = 1, journal: Journal = NoJournal) {
+/** One process under test, in the region north unless [self] names another one. */
+internal class TestGateway(
+    seed: Int = 1,
+    journal: Journal = NoJournal,
+    self: PeerIdentity = identity("self", NORTH),
+) {
     val world = GatewayWorld(
-        self = identity("self", NORTH),
-        regions = mapOf(
-            FailureDomainId("north-a") to NORTH,
-            FailureDomainId("south-a") to SOUTH,
-        ),
+        self = self,
+        regions = listOf(NORTH, SOUTH, EAST).associateBy { FailureDomainId("$it-a") },
         seeds = emptyList(),
         bounds = GatewayBounds(
             retryRatio = 0.2,
