Let urgent calls wait only for prompts that are as urgent

Long prompts were estimated about right. Engines admit urgent calls first, and the chats' routes are the more urgent ones, while the estimate counted all prompt tokens that wait at the engine.

Waiting tokens are now kept by priority, here and in datagrams, and a call waits for those of its own priority and of more urgent ones. The summary for other regions tells the wait of the most urgent calls beside that of the others.

The test "an urgent call does not wait for the prompts of less urgent ones" failed before: both were expected after the same time.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallCosts.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallCosts.kt
@@ -133,11 +133,15 @@
         return prompt.promptTokens - backend.cache.cachedTokens(prompt.parts)
     }
 
-    /** Expected time in milliseconds until [backend] gives its first event for a prompt of [tokens] uncached tokens. */
+    /**
+     * Expected time in milliseconds until [backend] gives the first event of a call of [priority] with [tokens] uncached
+     * tokens.
+     */
     fun firstEventMs(
         backend: Backend,
         state: ServiceState,
         tokens: Int,
+        priority: Int,
         isEngine: Boolean,
     ): Double {
         val slots = backend.record.slots.coerceAtLeast(1)
@@ -150,8 +154,7 @@
             val crowdMs = callMs * load / slots * PLAIN_CROWDING
             return slowdown * (callMs + queueMs + crowdMs)
         }
-        val ahead = backend.pendingPromptTokens + backend.peerPendingTokens
-        val promptMs = (tokens + ahead) * state.msPerPromptToken
+        val promptMs = (tokens + backend.tokensAhead(priority)) * state.msPerPromptToken
         val busy = load.toDouble() / slots
         return slowdown * (promptMs + FULL_BATCH_MS * busy * busy + queueMs)
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -171,7 +171,7 @@
         val service = world.catalog?.service(call.service)
         val send = newSend(world, tick, call, SendPlace.AtServer(backend.id))
         send.expectedFirstMs = choice.waitMs
-        val known = knownOf(backend, call.spec.prompt)
+        val known = knownOf(backend, call.spec.prompt, call.route.priority)
         if (tick.nowMs < backend.coldUntilMs) backend.coldSends.addLast(tick.nowMs)
         backend.inFlight++
         call.spec.prompt?.let { prompt -> chargePrompt(world, backend, send, prompt, service) }
@@ -186,12 +186,13 @@
     }
 
     /** What this process knows of [backend] when it sends [prompt] there. */
-    private fun knownOf(backend: Backend, prompt: Prompt?): Map<String, Any?> = mapOf(
-        "load" to backend.load,
-        "uncachedTokens" to prompt?.let { CallCosts.uncachedTokens(it, backend) },
-        "aheadTokens" to backend.pendingPromptTokens + backend.peerPendingTokens,
-        "recentTokens" to backend.recentPromptTokens.toLong() + backend.peerRecentTokens,
-    )
+    private fun knownOf(backend: Backend, prompt: Prompt?, priority: Int): Map<String, Any?> =
+        mapOf(
+            "load" to backend.load,
+            "uncachedTokens" to prompt?.let { CallCosts.uncachedTokens(it, backend) },
+            "aheadTokens" to backend.tokensAhead(priority),
+            "recentTokens" to backend.recentPromptTokens.toLong() + backend.peerRecentTokens,
+        )
 
     private fun chargePrompt(
         world: GatewayWorld,
@@ -202,8 +203,8 @@
     ) {
         val uncached = prompt.promptTokens - backend.cache.cachedTokens(prompt.parts)
         send.pendingTokens = uncached.toLong()
-        send.workTokens = uncached + backend.pendingPromptTokens + backend.peerPendingTokens
-        backend.pendingPromptTokens += uncached
+        send.workTokens = uncached + backend.tokensAhead(send.priority)
+        backend.pending.add(send.priority, send.pendingTokens)
         backend.recentPromptTokens += uncached
         val capacity = service?.engine?.kvCapacityTokens ?: return
         for (part in prompt.sharedParts) {
@@ -238,7 +239,8 @@
         call: Call,
         place: SendPlace,
     ): Send {
-        val send = Send(SendId(++world.process.nextSend), call.id, place, tick.nowMs)
+        val id = SendId(++world.process.nextSend)
+        val send = Send(id, call.id, place, tick.nowMs, call.route.priority)
         world.sends[send.id] = send
         return send
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSystem.kt
@@ -162,6 +162,6 @@
     val place = send.place as? SendPlace.AtServer ?: return
     val backend = world.backends[place.server] ?: return
     backend.inFlight--
-    backend.pendingPromptTokens -= send.pendingTokens
+    backend.pending.add(send.priority, -send.pendingTokens)
     send.pendingTokens = 0
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Catalog.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Catalog.kt
@@ -77,6 +77,12 @@
     }
     private val servicesById: Map<ServiceId, ServiceSpec> by lazy { services.associateBy { it.id } }
 
+    private val urgentByService: Map<ServiceId, Int> by lazy {
+        routes.flatMap { route -> route.targets.map { it.service to route.priority } }
+            .groupBy({ it.first }, { it.second })
+            .mapValues { (_, priorities) -> priorities.min() }
+    }
+
     /** The route with the longest prefix that begins [path], among the routes of [host]. */
     fun match(host: String, path: String): Route? =
         routesByHost[host]?.firstOrNull { path.startsWith(it.prefix) }
@@ -85,4 +91,7 @@
     fun routesOf(host: String): List<Route> = routesByHost[host].orEmpty()
 
     fun service(id: ServiceId): ServiceSpec? = servicesById[id]
+
+    /** The priority of the most urgent routes to [service]. */
+    fun mostUrgentPriority(service: ServiceId): Int = urgentByService[service] ?: 0
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -16,11 +16,11 @@
 
     /** Calls of this process that the server has, and prompt tokens of those without a first event. */
     var inFlight = 0
-    var pendingPromptTokens = 0L
+    val pending = PendingTokens()
 
     /** What other VMs of the region put on the server, as of their last datagrams. */
     var peerInFlight = 0
-    var peerPendingTokens = 0L
+    val peerPending = PendingTokens()
     var peerRecentTokens = 0L
 
     /** As last reported by the server, and when. */
@@ -59,6 +59,9 @@
 
     val load: Int
         get() = inFlight + peerInFlight
+
+    /** Prompt tokens that a call of [priority] waits for. */
+    fun tokensAhead(priority: Int): Long = pending.ahead(priority) + peerPending.ahead(priority)
 }
 
 /** One other entry VM. */
@@ -134,7 +137,13 @@
 }
 
 /** One send under way. */
-class Send(val id: SendId, val call: CallId, val place: SendPlace, val startedMs: Long) {
+class Send(
+    val id: SendId,
+    val call: CallId,
+    val place: SendPlace,
+    val startedMs: Long,
+    val priority: Int,
+) {
     /** Prompt tokens that count as pending at the server until the first event. */
     var pendingTokens = 0L
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
@@ -31,15 +31,17 @@
 data class ServerShare(
     @SerialName("a") val server: BackendServerId,
     @SerialName("b") val inFlight: Int,
-    @SerialName("c") val pendingPromptTokens: Long,
+    /** By priority, 0 first. */
+    @SerialName("c") val pendingPromptTokens: List<Long> = emptyList(),
     @SerialName("d") val recentPromptTokens: Long = 0,
     /** Time between two events of a stream, as the sender sees it; 0 when it has no stream there. */
     @SerialName("e") val eventGapMs: Float = 0f,
 )
 
 /**
- * What a region has of a service. [waitMs] is the expected wait of a call that is placed well, [eventGapMs] the time
- * between two events of its answer, [meanWaitMs] the expected wait at a server that was not chosen by its load.
+ * What a region has of a service. [waitMs] is the expected wait of a call that is placed well, [urgentWaitMs] that of
+ * a call of the most urgent priority, [eventGapMs] the time between two events of its answer, [meanWaitMs] the expected wait
+ * at a server that was not chosen by its load.
  */
 @Serializable
 data class ServiceLoad(
@@ -49,6 +51,7 @@
     @SerialName("d") val waitMs: Long,
     @SerialName("e") val eventGapMs: Float = 0f,
     @SerialName("f") val meanWaitMs: Long = waitMs,
+    @SerialName("g") val urgentWaitMs: Long = waitMs,
 )
 
 /** A shared part that was sent to a server. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
@@ -262,7 +262,7 @@
                 ServerShare(
                     server = it.id,
                     inFlight = it.inFlight,
-                    pendingPromptTokens = it.pendingPromptTokens,
+                    pendingPromptTokens = it.pending.toList(),
                     recentPromptTokens = it.recentPromptTokens.toLong(),
                     eventGapMs = it.pace.ownGapMs(tick.nowMs).toFloat(),
                 )
@@ -284,14 +284,14 @@
         for (backend in world.backends) {
             backend.pace.forgetPeers()
             backend.peerInFlight = 0
-            backend.peerPendingTokens = 0
+            backend.peerPending.clear()
             backend.peerRecentTokens = 0
         }
         for (peer in world.livePeersHere()) {
             for (share in peer.shares) {
                 val backend = world.backends[share.server] ?: continue
                 backend.peerInFlight += share.inFlight
-                backend.peerPendingTokens += share.pendingPromptTokens
+                backend.peerPending.add(share.pendingPromptTokens)
                 backend.peerRecentTokens += share.recentPromptTokens
                 backend.pace.noteOfPeer(share.eventGapMs.toDouble())
             }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -111,23 +111,46 @@
         val usable = world.backends.filter {
             it.record.service == service && isUsable(world, it, nowMs)
         }
-        val state = world.service(service)
-        val waits = usable.associateWith {
-            val tokens = CallCosts.TYPICAL_PROMPT_TOKENS
-            CallCosts.firstEventMs(it, state, tokens, isEngine(world, it))
-        }
-        val typical = usable.sortedBy { waits.getValue(it) }
-            .getOrNull(usable.size / TYPICAL_WAIT_PART)
+        val urgent = world.catalog?.mostUrgentPriority(service) ?: 0
+        val waits = typicalWaits(world, usable, Int.MAX_VALUE)
+        val urgentWaits = typicalWaits(world, usable, urgent)
+        val typical = wellPlaced(waits)
         return ServiceLoad(
             service = service,
             places = usable.sumOf { it.record.slots },
             inUse = usable.sumOf { it.load },
-            waitMs = typical?.let { waits.getValue(it).toLong() } ?: NO_WAIT_KNOWN_MS,
-            eventGapMs = typical?.pace?.gapMs(nowMs)?.toFloat() ?: 0f,
-            meanWaitMs = if (waits.isEmpty()) NO_WAIT_KNOWN_MS else waits.values.average().toLong(),
+            waitMs = typical?.second?.toLong() ?: NO_WAIT_KNOWN_MS,
+            eventGapMs = typical?.first?.pace?.gapMs(nowMs)?.toFloat() ?: 0f,
+            meanWaitMs = meanMs(waits) ?: NO_WAIT_KNOWN_MS,
+            urgentWaitMs = wellPlaced(urgentWaits)?.second?.toLong() ?: NO_WAIT_KNOWN_MS,
         )
     }
 
+    /** The expected wait of a typical prompt of [priority] at each of [usable], the shortest first. */
+    private fun typicalWaits(
+        world: GatewayWorld,
+        usable: List<Backend>,
+        priority: Int,
+    ): List<Pair<Backend, Double>> = usable
+        .map { it to typicalWaitMs(world, it, priority) }
+        .sortedBy { it.second }
+
+    private fun typicalWaitMs(world: GatewayWorld, backend: Backend, priority: Int) =
+        CallCosts.firstEventMs(
+            backend,
+            world.service(backend.record.service),
+            CallCosts.TYPICAL_PROMPT_TOKENS,
+            priority,
+            isEngine(world, backend),
+        )
+
+    /** What a call meets that compares a few servers. */
+    private fun wellPlaced(waits: List<Pair<Backend, Double>>) =
+        waits.getOrNull(waits.size / TYPICAL_WAIT_PART)
+
+    private fun meanMs(waits: List<Pair<Backend, Double>>): Long? =
+        if (waits.isEmpty()) null else waits.sumOf { it.second / waits.size }.toLong()
+
     /** A server that is leaving, when no other can be had. */
     private fun orElse(world: GatewayWorld, call: Call, nowMs: Long, random: Random): Choice =
         chooseHere(world, call, nowMs, random, ::isLastResort) ?: nowhere(world, call, nowMs)
@@ -191,7 +214,8 @@
         val state = world.service(call.service)
         val prompt = call.spec.prompt
         val tokens = CallCosts.uncachedTokens(prompt, backend)
-        val wait = CallCosts.firstEventMs(backend, state, tokens, prompt != null)
+        val priority = call.route.priority
+        val wait = CallCosts.firstEventMs(backend, state, tokens, priority, prompt != null)
         val answer = CallCosts.answerMs(call, state, backend.pace.gapMs(nowMs), nowMs)
         val interference =
             prompt?.let { CallCosts.interferenceMs(backend, it, tokens, state) } ?: 0.0
@@ -230,8 +254,9 @@
             if (load.places == 0) continue
             val relayed = peers.sumOf { it.relayedSince }
             val crowding = relayed.toDouble() / load.places
-            val wait = newest.roundTripMs + load.waitMs + CallCosts.coldPromptMs(world, call) +
-                (1 + load.waitMs) * crowding + random.nextDouble() * REGION_SPREAD_MS
+            val waitMs = waitThereMs(world, call, load)
+            val wait = newest.roundTripMs + waitMs + CallCosts.coldPromptMs(world, call) +
+                (1 + waitMs) * crowding + random.nextDouble() * REGION_SPREAD_MS
             val gapMs = load.eventGapMs.toDouble()
             val state = world.service(call.service)
             val cost = wait + CallCosts.answerMs(call, state, gapMs, nowMs) +
@@ -243,6 +268,11 @@
         return best
     }
 
+    private fun waitThereMs(world: GatewayWorld, call: Call, load: ServiceLoad): Long {
+        val urgent = world.catalog?.mostUrgentPriority(call.service) ?: 0
+        return if (call.route.priority <= urgent) load.urgentWaitMs else load.waitMs
+    }
+
     private fun nowhere(world: GatewayWorld, call: Call, nowMs: Long): Choice.Nowhere {
         val isKnown = world.backends.any { it.record.service == call.service }
         val reason = if (isKnown) CallRefusal.OVERLOADED else CallRefusal.NO_BACKEND
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -35,7 +35,7 @@
         val backend = backendOf(world, send) ?: return
         backend.heardMs = tick.nowMs
         note(backend, event.load, tick.nowMs)
-        backend.pendingPromptTokens -= send.pendingTokens
+        backend.pending.add(send.priority, -send.pendingTokens)
         learnPromptRate(world.service(call.service), send, tick.nowMs)
         send.pendingTokens = 0
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
@@ -115,7 +115,7 @@
         for (send in world.sends) {
             if (send.place != SendPlace.AtServer(record.id)) continue
             backend.inFlight++
-            backend.pendingPromptTokens += send.pendingTokens
+            backend.pending.add(send.priority, send.pendingTokens)
         }
         return backend
     }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/PeerSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/PeerSystemTest.kt
@@ -50,7 +50,7 @@
     @Test
     fun `load of other processes counts at a server, so that none floods it`() {
         gateway.publish(1, catalog(route("lookup")), server("a"), server("b"))
-        val share = ServerShare(BackendServerId("a"), inFlight = 5, pendingPromptTokens = 0)
+        val share = ServerShare(BackendServerId("a"), inFlight = 5)
         gateway.hear(near) { it.copy(shares = listOf(share)) }
         val first = List(3) { gateway.call(route("lookup")).second.only<StartSend>().server }
 
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
@@ -84,7 +84,7 @@
     @Test
     fun `processes with the same late figures do not all take the same server of many`() {
         val engines = (0 until 20).map { engine("m$it") }
-        val shares = engines.drop(1).map { ServerShare(it.id, 30, 0) }
+        val shares = engines.drop(1).map { ServerShare(it.id, 30) }
         val chat = Prompt(listOf(PromptPart(PartId(900), 600)), 600, 300)
         val places = (1..40).map { seed ->
             val process = TestGateway(seed)
@@ -99,7 +99,7 @@
     @Test
     fun `prompts that other processes send count for long answers`() {
         gateway.publish(1, catalog(brief), engine("m1"), engine("m2"))
-        val share = ServerShare(BackendServerId("m1"), 0, 0, recentPromptTokens = 60_000)
+        val share = ServerShare(BackendServerId("m1"), 0, recentPromptTokens = 60_000)
         gateway.hear(identity("p", NORTH)) { it.copy(shares = listOf(share)) }
         val chat = Prompt(listOf(PromptPart(PartId(900), 600)), 600, 900)
         val answers = List(4) { gateway.call(brief, chat).second.only<StartSend>().server }
@@ -140,4 +140,22 @@
         expectThat(gateway.call(brief, chat).second.only<StartSend>().target)
             .isA<SendTarget.Peer>()
     }
+
+    // Guards against urgent calls that are refused or relayed because of prompts that wait behind them.
+    @Test
+    fun `an urgent call does not wait for the prompts of less urgent ones`() {
+        val chats = route("chats") {
+            kind = RouteKind.STREAMING
+            service = MODEL
+            priority = 0
+        }
+        gateway.publish(1, catalog(brief, chats), engine("m1"))
+        repeat(60) { gateway.call(brief, prompt(thing = 7, own = 100L + it)) }
+        val chat = Prompt(listOf(PromptPart(PartId(900), 600)), 600, 50)
+        val urgent = gateway.call(chats, chat).second.only<StartSend>()
+        val other = gateway.call(brief, chat).second.only<StartSend>()
+
+        expectThat(gateway.expectedMs(urgent.send) * 3)
+            .isLessThan(gateway.expectedMs(other.send))
+    }
 }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
@@ -114,7 +114,7 @@
     fun `a broken stream goes on at a server that is expected to be late`() {
         val first = gateway.call(brief, prompt).second.only<StartSend>()
         gateway.tick(SendStarted(first.send, null))
-        gateway.world.backends.forEach { it.pendingPromptTokens += LATE_TOKENS }
+        gateway.world.backends.forEach { it.pending.add(0, LATE_TOKENS) }
         val after = gateway.tick(broken(first))
 
         expectThat(after.all<RefuseCall>()).isEmpty()
@@ -138,7 +138,7 @@
 
     @Test
     fun `a call that no server has run is refused at once when all are expected to be late`() {
-        gateway.world.backends.forEach { it.pendingPromptTokens += LATE_TOKENS }
+        gateway.world.backends.forEach { it.pending.add(0, LATE_TOKENS) }
         val (_, commands) = gateway.call(brief, prompt)
 
         expectThat(commands.only<RefuseCall>().reason).isEqualTo(CallRefusal.OVERLOADED)
@@ -246,7 +246,7 @@
     @Test
     fun `a run at a server that is alive goes on when the others are expected to be late`() {
         val first = quietStream(3_000)
-        gateway.world.backends.forEach { it.pendingPromptTokens += LATE_TOKENS }
+        gateway.world.backends.forEach { it.pending.add(0, LATE_TOKENS) }
         gateway.tick(ServersHeard(setOf(BackendServerId(first.server))))
 
         gateway.tick(SendQuiet(first.send, 3_000)).leavesRunsAlone()
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestGateway.kt
@@ -41,6 +41,7 @@
     var isResumable = false
     var homes = emptySet<RegionId>()
     var host = "host"
+    var priority = 1
 
     fun build() = Route(
         id = RouteId(id),
@@ -50,7 +51,7 @@
         timeoutMs = timeoutMs,
         objectiveMs = 600,
         gapObjectiveMs = 600,
-        priority = 1,
+        priority = priority,
         targets = listOf(WeightedService(service, 1)),
         maxSends = maxSends,
         isResumable = isResumable,
@@ -149,6 +150,9 @@
         return id to tick(CallArrived(id, spec))
     }
 
+    /** The time to its first event that [send] was expected to take. */
+    fun expectedMs(send: SendId): Double = checkNotNull(world.sends[send]).expectedFirstMs
+
     /** A peer is heard, with an echo that proves the way back. */
     fun hear(identity: PeerIdentity, change: (GossipMessage) -> GossipMessage = { it }) = tick(
         GossipReceived(
