Copy shared parts of prompts from another engine of the region

Callers got late answers while engines read prompts.

An engine can fetch what another one keeps of a prompt. A send now names an engine of its region that is thought to keep all shared parts, when copying them takes less than half of the time of reading them and the source was heard of within 1.5 s. The sizes come from the published service; a service without them is served as before. The expected wait and the tokens that count as pending leave copied tokens out.

The test "an engine copies the shared parts that another engine of its region keeps" failed before; a second one guards against a source that is gone.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -171,37 +171,43 @@
         val service = world.catalog?.service(call.service)
         val send = newSend(world, tick, call, SendPlace.AtServer(backend.id))
         send.expectedFirstMs = choice.waitMs
-        val known = knownOf(backend, call.spec.prompt, call.route.priority)
+        val known = knownOf(choice, call.spec.prompt, call.route.priority)
         if (tick.nowMs < backend.coldUntilMs) backend.coldSends.addLast(tick.nowMs)
         backend.inFlight++
-        call.spec.prompt?.let { prompt -> chargePrompt(world, backend, send, prompt, service) }
+        call.spec.prompt?.let { prompt -> chargePrompt(world, choice, send, prompt, service) }
         val region = world.livePeersHere().size + 1
         val target = SendTarget.Server(
             id = backend.id,
             address = backend.record.address,
             maxConnections = (service?.maxConnections ?: 1) / region,
             isUnsafe = !call.route.isRepeatable,
+            copyPartsFrom = choice.source?.from?.record?.address,
         )
         give(tick, call, send, target, CONNECT_TIMEOUT_MS, replaced, known)
     }
 
-    /** What this process knows of [backend] when it sends [prompt] there. */
-    private fun knownOf(backend: Backend, prompt: Prompt?, priority: Int): Map<String, Any?> =
-        mapOf(
+    /** What this process knows of the server when it sends [prompt] there. */
+    private fun knownOf(choice: Choice.Here, prompt: Prompt?, priority: Int): Map<String, Any?> {
+        val backend = choice.backend
+        return mapOf(
             "load" to backend.load,
-            "uncachedTokens" to prompt?.let { CallCosts.uncachedTokens(it, backend) },
+            "uncachedTokens" to CallCosts.uncachedTokens(prompt, backend),
+            "copiedTokens" to choice.source?.tokens,
             "aheadTokens" to backend.tokensAhead(priority),
             "recentTokens" to backend.recentPromptTokens.toLong() + backend.peerRecentTokens,
         )
+    }
 
     private fun chargePrompt(
         world: GatewayWorld,
-        backend: Backend,
+        choice: Choice.Here,
         send: Send,
         prompt: Prompt,
         service: ServiceSpec?,
     ) {
-        val uncached = prompt.promptTokens - backend.cache.cachedTokens(prompt.parts)
+        val backend = choice.backend
+        val copied = choice.source?.tokens ?: 0
+        val uncached = CallCosts.uncachedTokens(prompt, backend) - copied
         send.pendingTokens = uncached.toLong()
         send.workTokens = uncached + backend.tokensAhead(send.priority)
         backend.pending.add(send.priority, send.pendingTokens)
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Catalog.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Catalog.kt
@@ -39,9 +39,17 @@
     fun allows(region: RegionId) = homes.isEmpty() || region in homes
 }
 
-/** Sizes of the model engines of a service. */
+/**
+ * Sizes of the model engines of a service. An engine copies what another one keeps of a prompt at [kvBytesPerToken] over
+ * a link of [kvLinkMbps]; 0 when engines do not.
+ */
 @Serializable
-data class EngineSpec(val slots: Int, val kvCapacityTokens: Long)
+data class EngineSpec(
+    val slots: Int,
+    val kvCapacityTokens: Long,
+    val kvBytesPerToken: Double = 0.0,
+    val kvLinkMbps: Double = 0.0,
+)
 
 /** One service. [engine] is null for plain services. */
 @Serializable
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
@@ -14,12 +14,16 @@
 sealed interface SendTarget {
     val address: Address
 
-    /** A backend server of this region. [isUnsafe] asks for a connection that is unlikely to be closed on the way. */
+    /**
+     * A backend server of this region. [isUnsafe] asks for a connection that is unlikely to be closed on the way. The
+     * server copies what the engine at [copyPartsFrom] keeps of the prompt.
+     */
     data class Server(
         val id: BackendServerId,
         override val address: Address,
         val maxConnections: Int,
         val isUnsafe: Boolean,
+        val copyPartsFrom: Address? = null,
     ) : SendTarget
 
     /** An entry VM of another region. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -18,12 +18,13 @@
 
     /**
      * A server of this region; [waitMs] is the expected time to its first event. [costMs] adds what the time of the rest
-     * of the answer and the delay of other calls weigh against it.
+     * of the answer and the delay of other calls weigh against it. The server copies shared parts from [source].
      */
     data class Here(
         val backend: Backend,
         override val waitMs: Double,
         override val costMs: Double,
+        val source: PartSource? = null,
     ) : Place
 
     /** A peer in another region. */
@@ -213,13 +214,15 @@
     ): Choice.Here {
         val state = world.service(call.service)
         val prompt = call.spec.prompt
-        val tokens = CallCosts.uncachedTokens(prompt, backend)
+        val source = partSource(world, call, backend, nowMs)
+        val tokens = CallCosts.uncachedTokens(prompt, backend) - (source?.tokens ?: 0)
         val priority = call.route.priority
-        val wait = CallCosts.firstEventMs(backend, state, tokens, priority, prompt != null)
+        val wait = (source?.copyMs ?: 0.0) +
+            CallCosts.firstEventMs(backend, state, tokens, priority, prompt != null)
         val answer = CallCosts.answerMs(call, state, backend.pace.gapMs(nowMs), nowMs)
         val interference =
             prompt?.let { CallCosts.interferenceMs(backend, it, tokens, state) } ?: 0.0
-        return Choice.Here(backend, wait, wait + answer + interference)
+        return Choice.Here(backend, wait, wait + answer + interference, source)
     }
 
     /**
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
@@ -6,6 +6,8 @@
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNull
 
 class RealPlacementPolicyTest {
     private val gateway = TestGateway()
@@ -14,6 +16,21 @@
         service = MODEL
     }
 
+    private val copying = catalog(brief).let { plain ->
+        val engine = EngineSpec(64, 300_000, kvBytesPerToken = 18_432.0, kvLinkMbps = 370_000.0)
+        plain.copy(
+            services = plain.services.map {
+                if (it.id ==
+                    MODEL
+                ) {
+                    it.copy(engine = engine)
+                } else {
+                    it
+                }
+            },
+        )
+    }
+
     private fun engine(name: String) = server(name, MODEL) { it.copy(slots = 64) }
 
     private fun prompt(thing: Long, own: Long) = Prompt(
@@ -158,4 +175,33 @@
         expectThat(gateway.expectedMs(urgent.send) * 3)
             .isLessThan(gateway.expectedMs(other.send))
     }
+
+    // Guards against shared parts that are read again although an engine of the same region keeps them.
+    @Test
+    fun `an engine copies the shared parts that another engine of its region keeps`() {
+        val (first, second) = twoPrompts(gapMs = 1)
+
+        expectThat(second.server).isNotEqualTo(first.server)
+        expectThat((second.target as SendTarget.Server).copyPartsFrom)
+            .isEqualTo(first.target.address)
+    }
+
+    // Guards against copies that wait for an engine that is gone.
+    @Test
+    fun `an engine that was silent for long is no source of shared parts`() {
+        val (_, second) = twoPrompts(gapMs = 4_000)
+
+        expectThat((second.target as SendTarget.Server).copyPartsFrom).isNull()
+    }
+
+    /** Sends of two prompts with the same shared parts; the engine of the first one becomes busy in between. */
+    private fun twoPrompts(gapMs: Long): Pair<StartSend, StartSend> {
+        gateway.publish(1, copying, engine("m1"), engine("m2"))
+        val first = gateway.call(brief, prompt(thing = 7, own = 100)).second.only<StartSend>()
+        gateway.tick(SendStarted(first.send, null))
+        gateway.world.backends[BackendServerId(first.server)]?.peerPending?.add(0, 200_000)
+        gateway.tick(afterMs = gapMs)
+        val second = gateway.call(brief, prompt(thing = 7, own = 101)).second.only<StartSend>()
+        return first to second
+    }
 }
