Weigh the answers that a long prompt pauses by what they lose

Callers of chats got pauses over 600 ms, and the longest answers ended at their limit: a long prompt went to an engine with 40 running answers to spare itself a wait of less than a second, since the pause of each of those answers counted with 0.08 of its length.

The pause of a running answer now counts with 0.3; the delay of the call's own answer by other prompts keeps its 0.08.

The test "a long prompt rather waits at an idle engine than pauses many answers at another one" failed before.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallCosts.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallCosts.kt
@@ -10,7 +10,10 @@
     const val TYPICAL_PROMPT_TOKENS = 1_000
 
     /** A delay of the whole answer weighs less than one of its first event. */
-    private const val INTERFERENCE_WEIGHT = 0.08
+    private const val HELD_UP_WEIGHT = 0.08
+
+    /** Weight of a pause in each running answer; together they count for more than the delay of one first event. */
+    private const val HOLDS_UP_WEIGHT = 0.3
 
     /** Time for which recent prompt tokens stand. */
     private const val RECENT_PROMPTS_S = 2.0
@@ -69,7 +72,7 @@
         val promptShare = (promptMsPerS / MS_PER_S).coerceAtMost(1.0)
         val heldUpMs = promptShare * prompt.outputTokens * MS_PER_OUTPUT_TOKEN
         val holdsUpMs = uncachedTokens * state.msPerPromptToken * backend.load
-        return INTERFERENCE_WEIGHT * (heldUpMs + holdsUpMs)
+        return HELD_UP_WEIGHT * heldUpMs + HOLDS_UP_WEIGHT * holdsUpMs
     }
 
     /** What the prompt of [call] does to the answers of an engine with the mean load of another region. */
@@ -77,7 +80,7 @@
         val tokens = call.spec.prompt?.promptTokens ?: return 0.0
         val slots = world.catalog?.service(call.service)?.engine?.slots ?: return 0.0
         val running = slots.toDouble() * load.inUse / load.places
-        return INTERFERENCE_WEIGHT * tokens * world.service(call.service).msPerPromptToken * running
+        return HOLDS_UP_WEIGHT * tokens * world.service(call.service).msPerPromptToken * running
     }
 
     /**
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
@@ -176,6 +176,18 @@
             .isLessThan(gateway.expectedMs(other.send))
     }
 
+    // Guards against prompts that pause many running answers for the sake of their own first event.
+    @Test
+    fun `a long prompt rather waits at an idle engine than pauses many answers at another one`() {
+        gateway.publish(1, catalog(brief), engine("answering"), engine("reading"))
+        gateway.world.backends[BackendServerId("answering")]?.peerInFlight = 40
+        gateway.world.backends[BackendServerId("reading")]?.peerPending?.add(0, 40_000)
+        val prompt = Prompt(listOf(PromptPart(PartId(1), 9_200)), 9_200, 50)
+        val send = gateway.call(brief, prompt).second.only<StartSend>()
+
+        expectThat(send.server).isEqualTo("reading")
+    }
+
     // Guards against shared parts that are read again although an engine of the same region keeps them.
     @Test
     fun `an engine copies the shared parts that another engine of its region keeps`() {
