Compare three servers instead of six

Callers got late answers from engines that all processes chose at once.

A call now compares three: the first in rendezvous order and two at random.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -290,10 +290,10 @@
 
     companion object {
         /** Servers that a call compares. Two at random already avoid most of the crowding that one would meet. */
-        private const val MOST_COMPARED = 6
+        private const val MOST_COMPARED = 3
 
         /** Servers of them that rendezvous prefers for the call's shared parts. */
-        private const val PREFERRED_COMPARED = 2
+        private const val PREFERRED_COMPARED = 1
 
         /** A call that compares a few servers meets about the wait that a quarter of them are below. */
         private const val TYPICAL_WAIT_PART = 4
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
@@ -98,6 +98,7 @@
         expectThat(answers.filter { it == busy }).isEqualTo(emptyList())
     }
 
+    // Guards against a server that was idle a moment ago and is crowded by all processes at once.
     @Test
     fun `processes with the same late figures do not all take the same server of many`() {
         val engines = (0 until 20).map { engine("m$it") }
@@ -110,7 +111,7 @@
             process.call(brief, chat).second.only<StartSend>().server
         }
 
-        expectThat(places.count { it == "m0" }).isLessThan(20)
+        expectThat(places.count { it == "m0" }).isLessThan(10)
     }
 
     @Test
