Believe a server's report only while it can be true

Callers' calls went past servers that had room: a report of a crowded server or of a slow machine was used for as long as no newer one came, and a server that is passed over sends none.

A report now counts for a second; after that a server is judged by the loads that the region's processes tell.

Ruled out for now: learning the time of a prompt token from quick first events of long prompts only.

The test "a report of a full server is not believed for longer than it can be true" failed before.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallCosts.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallCosts.kt
@@ -146,10 +146,12 @@
         tokens: Int,
         priority: Int,
         isEngine: Boolean,
+        nowMs: Long,
     ): Double {
         val slots = backend.record.slots.coerceAtLeast(1)
-        val load = maxOf(backend.load, reportedLoad(backend))
-        val slowdown = backend.reported?.slowdown ?: 1.0
+        val report = backend.reportAt(nowMs)
+        val load = maxOf(backend.load, reportedLoad(report))
+        val slowdown = report?.slowdown ?: 1.0
         val waiting = (load + 1 - slots).coerceAtLeast(0)
         val callMs = state.callMs.coerceAtLeast(LEAST_CALL_MS)
         val queueMs = waiting * callMs / slots
@@ -162,10 +164,8 @@
         return slowdown * (promptMs + FULL_BATCH_MS * busy * busy + queueMs)
     }
 
-    private fun reportedLoad(backend: Backend): Int {
-        val report = backend.reported ?: return 0
-        return if (report.waiting > 0) report.running + report.waiting else 0
-    }
+    private fun reportedLoad(report: LoadReport?): Int =
+        if (report != null && report.waiting > 0) report.running + report.waiting else 0
 
     /** What a failure of [call] at a server costs. */
     fun failureMs(call: Call): Double =
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -9,6 +9,9 @@
 import org.pomeloladder.configuration.VmId
 import org.pomeloladder.decisions.Incarnation
 
+/** Neighbours on a server's machine and its queue change within about a second. */
+private const val REPORT_VALID_MS = 1_000L
+
 /** One backend server of any region. Only those of this process's region are sent to. */
 class Backend(var record: BackendRecord) {
     val id: BackendServerId
@@ -27,6 +30,10 @@
     var reported: LoadReport? = null
     var reportedMs = 0L
 
+    /** The last report while it can still be true; null when it is too old. */
+    fun reportAt(nowMs: Long): LoadReport? =
+        reported?.takeIf { nowMs - reportedMs < REPORT_VALID_MS }
+
     /** Moving averages of own observations. */
     var failureShare = 0.0
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -113,8 +113,8 @@
             it.record.service == service && isUsable(world, it, nowMs)
         }
         val urgent = world.catalog?.mostUrgentPriority(service) ?: 0
-        val waits = typicalWaits(world, usable, Int.MAX_VALUE)
-        val urgentWaits = typicalWaits(world, usable, urgent)
+        val waits = typicalWaits(world, usable, Int.MAX_VALUE, nowMs)
+        val urgentWaits = typicalWaits(world, usable, urgent, nowMs)
         val typical = wellPlaced(waits)
         return ServiceLoad(
             service = service,
@@ -132,17 +132,19 @@
         world: GatewayWorld,
         usable: List<Backend>,
         priority: Int,
+        nowMs: Long,
     ): List<Pair<Backend, Double>> = usable
-        .map { it to typicalWaitMs(world, it, priority) }
+        .map { it to typicalWaitMs(world, it, priority, nowMs) }
         .sortedBy { it.second }
 
-    private fun typicalWaitMs(world: GatewayWorld, backend: Backend, priority: Int) =
+    private fun typicalWaitMs(world: GatewayWorld, backend: Backend, priority: Int, nowMs: Long) =
         CallCosts.firstEventMs(
             backend,
             world.service(backend.record.service),
             CallCosts.TYPICAL_PROMPT_TOKENS,
             priority,
             isEngine(world, backend),
+            nowMs,
         )
 
     /** What a call meets that compares a few servers. */
@@ -218,7 +220,7 @@
         val tokens = CallCosts.uncachedTokens(prompt, backend) - (source?.tokens ?: 0)
         val priority = call.route.priority
         val wait = (source?.copyMs ?: 0.0) +
-            CallCosts.firstEventMs(backend, state, tokens, priority, prompt != null)
+            CallCosts.firstEventMs(backend, state, tokens, priority, prompt != null, nowMs)
         val answer = CallCosts.answerMs(call, state, backend.pace.gapMs(nowMs), nowMs)
         val interference =
             prompt?.let { CallCosts.interferenceMs(backend, it, tokens, state) } ?: 0.0
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/RealPlacementPolicyTest.kt
@@ -207,6 +207,20 @@
         expectThat((second.target as SendTarget.Server).copyPartsFrom).isNull()
     }
 
+    // Guards against servers that are passed over for as long as nothing is sent to them, because of an old report.
+    @Test
+    fun `a report of a full server is not believed for longer than it can be true`() {
+        gateway.publish(1, catalog(brief), engine("m1"))
+        val chat = Prompt(listOf(PromptPart(PartId(900), 600)), 600, 50)
+        val first = gateway.call(brief, chat).second.only<StartSend>()
+        gateway.tick(SendStarted(first.send, LoadReport(64, 20, 64, slowdown = 2.5)))
+        val soon = gateway.call(brief, chat).second.only<StartSend>()
+        gateway.tick(afterMs = 1_200)
+        val later = gateway.call(brief, chat).second.only<StartSend>()
+
+        expectThat(gateway.expectedMs(later.send) * 2).isLessThan(gateway.expectedMs(soon.send))
+    }
+
     /** Sends of two prompts with the same shared parts; the engine of the first one becomes busy in between. */
     private fun twoPrompts(gapMs: Long): Pair<StartSend, StartSend> {
         gateway.publish(1, copying, engine("m1"), engine("m2"))
