Split the placement policy by what it looks at

The file held the types of its answer, the summary for other regions, the choice among other regions and the choice in its own. The two ways to another region share the grouping of peers and the rule that a region without places takes nothing, which the way to an owner lacked: 0 divided by 0 stood for the cost there and lost every comparison. Otherwise nothing that is decided changes.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PartOwners.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PartOwners.kt
@@ -20,7 +20,7 @@
 internal fun partOwners(world: GatewayWorld, call: Call, nowMs: Long): PartOwners? {
     val shared = call.spec.prompt?.sharedParts.orEmpty()
     if (shared.sumOf { it.tokens } < LEAST_OWNED_TOKENS) return null
-    val reachable = reachableRegions(world, call, nowMs)
+    val reachable = relayPeers(world, call, nowMs).keys
     val ranked = world.backends
         .filter { isOwnerCandidate(world, call, it, reachable, nowMs) }
         .rendezvousOrder(shared.last().id.value) { it.id.value }
@@ -34,9 +34,6 @@
     }
 }
 
-private fun reachableRegions(world: GatewayWorld, call: Call, nowMs: Long): Set<RegionId> =
-    world.peers.filter { canRelay(world, call, it, nowMs) }.mapTo(HashSet()) { it.identity.region }
-
 private fun isOwnerCandidate(
     world: GatewayWorld,
     call: Call,
--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServiceSummary.kt
@@ -0,0 +1,59 @@
+/*
+ * What this region has of a service, in a few figures that datagrams carry to other regions.
+ */
+package org.pomeloladder.gateway
+
+import org.pomeloladder.configuration.ServiceId
+
+/** A call that compares a few servers meets about the wait that a quarter of them are below. */
+private const val TYPICAL_WAIT_PART = 4
+
+/** Stands for a service that has no server here. */
+private const val NO_WAIT_KNOWN_MS = 60_000L
+
+/** The expected waits and the places of [service] in this region, for peers of other regions. */
+internal fun serviceSummary(world: GatewayWorld, service: ServiceId, nowMs: Long): ServiceLoad {
+    val usable = world.backends.filter {
+        it.record.service == service && isUsable(world, it, nowMs)
+    }
+    val urgent = world.catalog?.mostUrgentPriority(service) ?: 0
+    val waits = typicalWaits(world, usable, Int.MAX_VALUE, nowMs)
+    val urgentWaits = typicalWaits(world, usable, urgent, nowMs)
+    val typical = wellPlaced(waits)
+    return ServiceLoad(
+        service = service,
+        places = usable.sumOf { it.record.slots },
+        inUse = usable.sumOf { it.load },
+        waitMs = typical?.second?.toLong() ?: NO_WAIT_KNOWN_MS,
+        eventGapMs = typical?.first?.pace?.gapMs(nowMs)?.toFloat() ?: 0f,
+        meanWaitMs = meanMs(waits) ?: NO_WAIT_KNOWN_MS,
+        urgentWaitMs = wellPlaced(urgentWaits)?.second?.toLong() ?: NO_WAIT_KNOWN_MS,
+    )
+}
+
+/** The expected wait of a typical prompt of [priority] at each of [usable], the shortest first. */
+private fun typicalWaits(
+    world: GatewayWorld,
+    usable: List<Backend>,
+    priority: Int,
+    nowMs: Long,
+): List<Pair<Backend, Double>> = usable
+    .map { it to typicalWaitMs(world, it, priority, nowMs) }
+    .sortedBy { it.second }
+
+private fun typicalWaitMs(world: GatewayWorld, backend: Backend, priority: Int, nowMs: Long) =
+    CallCosts.firstEventMs(
+        backend,
+        world.service(backend.record.service),
+        CallCosts.TYPICAL_PROMPT_TOKENS,
+        priority,
+        world.catalog?.service(backend.record.service)?.engine != null,
+        nowMs,
+    )
+
+/** What a call meets that compares a few servers. */
+private fun wellPlaced(waits: List<Pair<Backend, Double>>) =
+    waits.getOrNull(waits.size / TYPICAL_WAIT_PART)
+
+private fun meanMs(waits: List<Pair<Backend, Double>>): Long? =
+    if (waits.isEmpty()) null else waits.sumOf { it.second / waits.size }.toLong()
