--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallCosts.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallCosts.kt
@@ -110,11 +110,11 @@
     }
 
     /**
-     * What a call costs at an engine of another region that keeps its shared parts, beside the way there: the wait at a
-     * server that is not chosen by its load, the own part of the prompt, and the time in which that part holds up the
-     * other calls of the engine. [relayedCalls] are not in the figures of [load] yet.
+     * Expected time to the first event at an engine of another region that keeps the shared parts of [call], beside the
+     * way there: the wait at a server that is not chosen by its load, and the own part of the prompt. [relayedCalls] are
+     * not in the figures of [load] yet.
      */
-    fun ownerThereMs(
+    fun ownerWaitThereMs(
         world: GatewayWorld,
         call: Call,
         load: ServiceLoad,
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/OtherRegions.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/OtherRegions.kt
@@ -13,6 +13,18 @@
 internal fun relayPeers(world: GatewayWorld, call: Call, nowMs: Long): Map<RegionId, List<Peer>> =
     world.peers.filter { canRelay(world, call, it, nowMs) }.groupBy { it.identity.region }
 
+/** Whether [call] may be relayed to [peer]. */
+private fun canRelay(world: GatewayWorld, call: Call, peer: Peer, nowMs: Long): Boolean {
+    val region = peer.identity.region
+    return region != world.self.region &&
+        call.route.allows(region) &&
+        peer.isLive &&
+        peer.isReady &&
+        !peer.isDraining &&
+        peer.vm !in call.avoidedPeers &&
+        nowMs >= peer.unreachableUntilMs
+}
+
 /** The best other region for a call that any engine there may serve. */
 internal fun bestThere(
     world: GatewayWorld,
@@ -67,7 +79,7 @@
     val newest = peers.maxBy { it.heardMs }
     val load = newest.services[call.service]?.takeIf { it.places > 0 } ?: return null
     val relayed = peers.sumOf { it.relayedSince }
-    val wait = newest.roundTripMs + CallCosts.ownerThereMs(world, call, load, relayed)
+    val wait = newest.roundTripMs + CallCosts.ownerWaitThereMs(world, call, load, relayed)
     val cost = wait + CallCosts.interferenceThereMs(world, call, load)
     return Choice.There(peers[random.nextInt(peers.size)], wait, cost)
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
@@ -45,18 +45,6 @@
         nowMs >= backend.coldUntilMs &&
         backend.record.domain !in world.process.view?.evacuated.orEmpty()
 
-/** Whether [call] may be relayed to [peer]. */
-internal fun canRelay(world: GatewayWorld, call: Call, peer: Peer, nowMs: Long): Boolean {
-    val region = peer.identity.region
-    return region != world.self.region &&
-        call.route.allows(region) &&
-        peer.isLive &&
-        peer.isReady &&
-        !peer.isDraining &&
-        peer.vm !in call.avoidedPeers &&
-        nowMs >= peer.unreachableUntilMs
-}
-
 /** Whether this process's share of a cold server's bound has room for one more call. */
 internal fun hasColdRoom(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean {
     if (nowMs >= backend.coldUntilMs) return true
