Log when the head of each answer arrived

The line now has headMs, the time from the request to the head of its answer. No decision uses it yet.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
@@ -41,7 +41,8 @@
 
 /**
  * A send ended. [events] counts the events of its stream, and [longestGapMs] is the longest time
- * between two of them. No further event refers to this send.
+ * between two of them. [headMs] is the time from the request to the head of its answer, or null
+ * when no head arrived. No further event refers to this send.
  */
 data class SendEnded(
     val send: SendId,
@@ -49,6 +50,7 @@
     val load: LoadReport?,
     val events: Int = 0,
     val longestGapMs: Long = 0,
+    val headMs: Long? = null,
 ) : GatewayEvent
 
 /** No byte of an answer, awaited or already started, arrived for [idleMs]. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -302,6 +302,7 @@
             "hasStarted" to call.isStreamStarted,
             "remainingMs" to call.remainingMs(tick.nowMs),
             "arrivals" to call.arrivals,
+            "headMs" to ended?.headMs,
             "firstEventMs" to send.firstEventMs,
             "events" to ended?.events,
             "longestGapMs" to ended?.longestGapMs,
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -423,7 +423,15 @@
         connectionsBySend.remove(send.id)
         if (connection != null) pool.release(connection)
         val longestGapMs = send.longestGapNanos / NANOS_PER_MS
-        events.post(SendEnded(send.id, outcome, load, send.forwardedEvents, longestGapMs))
+        val ended = SendEnded(
+            send = send.id,
+            outcome = outcome,
+            load = load,
+            events = send.forwardedEvents,
+            longestGapMs = longestGapMs,
+            headMs = send.headMs,
+        )
+        events.post(ended)
     }
 
     override fun onConnectionClosed(connection: ServerConnection) = pool.onClosed(connection)
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -41,6 +41,12 @@
     val headers: HttpHeaders,
     val replaces: ReplacedSend? = null,
 ) {
+    /** Time at which the request was written. */
+    var requestNanos = 0L
+
+    /** Time from the request to the head of its response, or null before the head. */
+    var headMs: Long? = null
+
     /** Time of the request, of the last response progress, or of the last resume after a pause. */
     var lastProgressNanos = System.nanoTime()
     var hasForwardedEvent = false
@@ -129,7 +135,8 @@
     fun start(active: ActiveSend) {
         check(send == null) { "the connection already carries a request" }
         send = active
-        active.lastProgressNanos = System.nanoTime()
+        active.requestNanos = System.nanoTime()
+        active.lastProgressNanos = active.requestNanos
         bytesSinceProgress = 0
         val exchange = active.exchange
         val request = DefaultFullHttpRequest(
@@ -230,6 +237,7 @@
         } else {
             earlyOutcome = outcomeFromHead(active, responseHead, message.headers())
             recordProgress(active)
+            active.headMs = (active.lastProgressNanos - active.requestNanos) / NANOS_PER_MS
         }
         if (!HttpUtil.isKeepAlive(message)) isReusable = false
         serverKeepAliveMs = keepAliveMs(message.headers())
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
@@ -93,6 +93,27 @@
         expectThat(connection.readHead()).contains("id: r2")
     }
 
+    // Guards against a crash report that cannot tell a request that ran from one that waited.
+    @Test
+    fun `a lost send tells whether the head of its answer had arrived`() {
+        val caller = traffic.caller()
+        traffic.send(traffic.request(caller, "r1"), server, isStream = true)
+        val begun = server.accept()
+        begun.readHead()
+        begun.write(streamHead("r1"))
+        begun.close()
+        val afterHead = traffic.await<SendEnded>()
+
+        traffic.send(traffic.request(traffic.caller(), "r2"), server, isStream = true)
+        val waiting = server.accept()
+        waiting.readHead()
+        waiting.reset()
+        val withoutHead = traffic.await<SendEnded>()
+
+        expectThat(afterHead.headMs).isNotNull()
+        expectThat(withoutHead.headMs).isNull()
+    }
+
     @Test
     fun `a connection with bytes after a complete response is not reused`() {
         val caller = traffic.caller()
