Show with a fleet that one prompt part crashes engine after engine

Callers whose sound requests shared an engine with a deadly one lost them, on any VM, for as long as such requests came.

--- /dev/null
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/DeadlyPartTest.kt
@@ -0,0 +1,106 @@
+package org.pomeloladder.gateway
+
+import kotlin.random.Random
+import org.junit.jupiter.api.Tag
+import org.junit.jupiter.api.Test
+import org.pomeloladder.configuration.RegionId
+import org.pomeloladder.decisions.RequestId
+import strikt.api.expectThat
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+
+/** Tests with a fleet what happens when one prompt part crashes each engine that answers it. */
+class DeadlyPartTest {
+    private val fleet = TestFleet(vmsPerRegion = 3, enginesPerRegion = 5)
+    private val random = Random(7)
+    private val soundRequests = ArrayList<Pair<Long, RequestId>>()
+    private val brief = route("brief") {
+        kind = RouteKind.STREAMING
+        service = MODEL
+        timeoutMs = 5_000
+        isResumable = true
+    }
+
+    private fun prompt(document: PartId) = Prompt(
+        parts = listOf(
+            PromptPart(PartId(1L + random.nextInt(PREFIXES)), 1_000),
+            PromptPart(document, 1_500),
+            PromptPart(PartId(random.nextLong()), 500),
+        ),
+        promptTokens = 3_000,
+        outputTokens = 50,
+    )
+
+    private fun send(document: PartId): RequestId {
+        val region = listOf(NORTH, SOUTH, EAST)[random.nextInt(3)]
+        return send(region, document)
+    }
+
+    private fun send(region: RegionId, document: PartId) =
+        fleet.call(region, random.nextInt(3), brief, prompt(document))
+
+    private fun sendSound(): RequestId = send(PartId(100L + random.nextInt(DOCUMENTS)))
+
+    /** Plays [durationMs] of traffic, of which one call in [deadlyOneIn] has the deadly part. */
+    private fun play(durationMs: Long, deadlyOneIn: Int) {
+        val repeated = HashSet<RequestId>()
+        val deadly = HashSet<RequestId>()
+        // Callers try again once after a failure.
+        fleet.onRefused = { if (it in deadly && repeated.add(it)) repeated += send(DEADLY) }
+        fleet.run(durationMs) { sinceMs ->
+            if (sinceMs % CALL_INTERVAL_MS != 0L) return@run
+            if (random.nextInt(deadlyOneIn) == 0) {
+                deadly += send(DEADLY)
+            } else {
+                soundRequests += sinceMs to sendSound()
+            }
+        }
+    }
+
+    private fun start() {
+        fleet.publish(MODEL, brief)
+        fleet.run(3_000)
+        fleet.deadlyPart = DEADLY
+        play(4_000, deadlyOneIn = Int.MAX_VALUE)
+        soundRequests.clear()
+    }
+
+    // Guards against requests of one kind that crash one engine after the other (BUDGET).
+    @Test
+    @Tag("known-red")
+    fun `a part that crashes engines reaches at most three more once all processes can know`() {
+        start()
+        play(25_000, deadlyOneIn = 20)
+
+        expectThat(fleet.crashesMs.size).isGreaterThan(1)
+        val knownAtMs = fleet.crashesMs.getOrNull(4)?.plus(HEARD_MS) ?: Long.MAX_VALUE
+        val later = fleet.deadlyArrivalsMs.count { it > knownAtMs }
+        expectThat(later).isLessThanOrEqualTo(3)
+        expectThat(fleet.crashesMs.size).isLessThanOrEqualTo(10)
+    }
+
+    // Guards against sound requests that fail with the engines that a deadly part crashes, or that
+    // are refused because they share other parts with it (LOST).
+    @Test
+    @Tag("known-red")
+    fun `sound calls with the same first part are served while deadly ones still come`() {
+        start()
+        play(25_000, deadlyOneIn = 20)
+
+        val late = soundRequests.filter { it.first > 12_000 }
+        val failed = late.count { it.second in fleet.refusals }
+        expectThat(late.size).isGreaterThanOrEqualTo(400)
+        expectThat(failed.toDouble() / late.size).isLessThanOrEqualTo(0.02)
+    }
+
+    private companion object {
+        val DEADLY = PartId(0xdead)
+        const val PREFIXES = 4
+        const val DOCUMENTS = 60
+        const val CALL_INTERVAL_MS = 25L
+
+        /** Time after the fifth crash by which every process must act on it. */
+        const val HEARD_MS = 6_000L
+    }
+}
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
@@ -8,6 +8,7 @@
 import org.pomeloladder.configuration.BackendServerId
 import org.pomeloladder.configuration.RegionId
 import org.pomeloladder.configuration.ServiceId
+import org.pomeloladder.configuration.VmId
 import org.pomeloladder.decisions.RequestId
 
 private const val STEP_MS = 5L
@@ -15,11 +16,41 @@
 private const val REMOTE_DELAY_MS = 80L
 private const val PROMPT_TOKENS_PER_MS = 50.0
 
+/** Time between the head of an answer and the crash of an engine on a deadly part. */
+private const val CRASH_DELAY_MS = 60L
+
+/** Time that a crashed engine needs to start again. */
+private const val RESTART_MS = 3_000L
+
+/** A send of one process. */
+internal data class TestSend(val vm: VmId, val send: SendId)
+
+/** A send that waits or runs at an engine. [headAtMs] is null before the head of its answer. */
+internal class TestRun(val key: TestSend, val startedMs: Long) {
+    var headAtMs: Long? = null
+}
+
 /** A model engine that processes one prompt at a time and caches every part. */
 internal class TestEngine(val id: BackendServerId, val region: RegionId) {
     private val cachedParts = HashSet<PartId>()
     private var busyUntilMs = 0.0
 
+    /** Sends that wait for their first event. */
+    val runs = LinkedHashMap<TestSend, TestRun>()
+    var upAtMs = 0L
+
+    /** Number of starts; a new one is a new incarnation. */
+    var starts = 1L
+
+    fun isUp(nowMs: Long) = nowMs >= upAtMs
+
+    fun crash(nowMs: Long) {
+        upAtMs = nowMs + RESTART_MS
+        busyUntilMs = upAtMs.toDouble()
+        cachedParts.clear()
+        runs.clear()
+    }
+
     /**
      * Shared parts and total number of tokens that this engine processed without finding them in
      * its cache.
@@ -65,6 +96,23 @@
     private val byAddress = vms.associateBy { it.identity.gossip }
     private val byVm = vms.associateBy { it.identity.vm }
     private val arrivedMs = HashMap<RequestId, Long>()
+    private var revision = 0L
+    private var publishedService = MODEL
+    private var publishedRoutes = emptyArray<Route>()
+
+    /** A part that crashes each engine that begins to answer a prompt with it. */
+    var deadlyPart: PartId? = null
+
+    /** Times at which engines crashed, and at which prompts with [deadlyPart] reached engines. */
+    val crashesMs = ArrayList<Long>()
+    val deadlyArrivalsMs = ArrayList<Long>()
+
+    /** Calls of callers, by request, that ended with a refusal. */
+    val refusals = LinkedHashMap<RequestId, CallRefusal>()
+    private val requests = HashMap<Pair<VmId, CallId>, RequestId>()
+
+    /** Called when a caller's call is refused. */
+    var onRefused: (RequestId) -> Unit = {}
 
     /** Time from the arrival of each call to its first event, in the order of the first events. */
     val firstEventsMs = ArrayList<Long>()
@@ -78,10 +126,18 @@
     }
 
     fun publish(service: ServiceId, vararg routes: Route) {
-        val records = engines.map {
-            server(it.id.value, service, it.region) { record -> record.copy(slots = 64) }
+        publishedService = service
+        publishedRoutes = arrayOf(*routes)
+        publishView()
+    }
+
+    private fun publishView() {
+        val records = engines.map { engine ->
+            server(engine.id.value, publishedService, engine.region) { record ->
+                record.copy(slots = 64, startedAtUnixMs = engine.starts)
+            }
         }
-        val view = PublishedView(1, catalog(*routes), records, emptySet())
+        val view = PublishedView(++revision, catalog(*publishedRoutes), records, emptySet())
         vms.forEach { it.inbox += ViewReceived(view, ViewSource.PLATFORM) }
     }
 
@@ -92,15 +148,20 @@
         isolatedRegions += region
     }
 
-    /** Sends a call to process [vm] of [region], modulo the number of processes there. */
-    fun call(region: RegionId, vm: Int, route: Route, prompt: Prompt) {
+    /**
+     * Sends a call to process [vm] of [region], modulo the number of processes there, and returns
+     * its request.
+     */
+    fun call(region: RegionId, vm: Int, route: Route, prompt: Prompt): RequestId {
         val entry = vms.filter { it.identity.region == region }.let { it[vm % it.size] }
         val id = RequestId("request-${++nextCall}")
         arrivedMs[id] = nowMs
+        requests[entry.identity.vm to CallId(nextCall)] = id
         entry.inbox += CallArrived(
             CallId(nextCall),
             CallSpec(id, route.host, "${route.prefix}x", route.timeoutMs, prompt, null),
         )
+        return id
     }
 
     /**
@@ -137,14 +198,38 @@
                     origin.inbox += SendEnded(send, SendOutcome.Answered(200), null)
                 }
             }
-            is RefuseCall -> vm.relays.remove(command.call)?.let { (origin, send) ->
-                val outcome = SendOutcome.NotRun(NotRunReason.PEER_REFUSED, hasArrived = false)
-                deliver(vm, origin) { origin.inbox += SendEnded(send, outcome, null) }
+            is RefuseCall -> refuse(vm, command)
+            is CancelSend -> engines.forEach {
+                it.runs.remove(TestSend(vm.identity.vm, command.send))
             }
+            is CheckHealth -> checkHealth(vm, command)
             else -> Unit
         }
     }
 
+    private fun refuse(vm: Vm, command: RefuseCall) {
+        val relay = vm.relays.remove(command.call)
+        if (relay == null) {
+            val request = requests[vm.identity.vm to command.call] ?: return
+            refusals[request] = command.reason
+            onRefused(request)
+            return
+        }
+        val (origin, send) = relay
+        val outcome = if (command.reason.runState == RunState.NOT_RUN) {
+            SendOutcome.NotRun(NotRunReason.PEER_REFUSED, hasArrived = false)
+        } else {
+            SendOutcome.Answered(502)
+        }
+        deliver(vm, origin) { origin.inbox += SendEnded(send, outcome, null) }
+    }
+
+    private fun checkHealth(vm: Vm, command: CheckHealth) {
+        val isUp = byEngine.getValue(command.server).isUp(nowMs)
+        val checked = HealthChecked(command.server, isUp, if (isUp) 0 else null, null)
+        schedule(nowMs + LOCAL_DELAY_MS) { vm.inbox += checked }
+    }
+
     private fun start(vm: Vm, start: StartSend) {
         val spec = checkNotNull(vm.gateway.world.calls[start.call]).spec
         when (val target = start.target) {
@@ -160,15 +245,57 @@
             is SendTarget.Server -> {
                 val engine = checkNotNull(byEngine[target.id])
                 check(engine.region == vm.identity.region) { "engines serve their own region" }
-                val readMs = engine.read(checkNotNull(spec.prompt), nowMs)
-                schedule(readMs) { reportAnswerStarted(vm, start) }
-                schedule(readMs + 1) {
-                    vm.inbox += SendEnded(start.send, SendOutcome.Answered(200), null)
+                if (engine.isUp(nowMs)) {
+                    run(vm, start, engine, checkNotNull(spec.prompt))
+                } else {
+                    val reason = NotWrittenReason.CONNECT_FAILED
+                    vm.inbox += SendNotWritten(start.send, reason)
                 }
             }
         }
     }
 
+    private fun run(vm: Vm, start: StartSend, engine: TestEngine, prompt: Prompt) {
+        val isDeadly = prompt.parts.any { it.id == deadlyPart }
+        if (isDeadly) deadlyArrivalsMs += nowMs
+        val key = TestSend(vm.identity.vm, start.send)
+        val run = TestRun(key, nowMs)
+        engine.runs[key] = run
+        val readMs = engine.read(prompt, nowMs)
+        schedule(readMs) {
+            if (engine.runs[key] !== run) return@schedule
+            run.headAtMs = nowMs
+            if (isDeadly) {
+                schedule(nowMs + CRASH_DELAY_MS) { if (engine.runs[key] === run) crash(engine) }
+                return@schedule
+            }
+            engine.runs.remove(key)
+            reportAnswerStarted(vm, start)
+            schedule(nowMs + 1) {
+                vm.inbox += SendEnded(start.send, SendOutcome.Answered(200), null)
+            }
+        }
+    }
+
+    private fun crash(engine: TestEngine) {
+        crashesMs += nowMs
+        val lost = engine.runs.values.toList()
+        engine.crash(nowMs)
+        for (run in lost) {
+            val ended = SendEnded(
+                send = run.key.send,
+                outcome = SendOutcome.Broken(BreakReason.CONNECTION_LOST),
+                load = null,
+                headMs = run.headAtMs?.let { it - run.startedMs },
+            )
+            byVm.getValue(run.key.vm).inbox += ended
+        }
+        schedule(engine.upAtMs) {
+            engine.starts++
+            publishView()
+        }
+    }
+
     private fun reportAnswerStarted(vm: Vm, start: StartSend) {
         vm.inbox += AnswerStarted(start.send, null)
         val call = vm.gateway.world.calls[start.call] ?: return
