Keep calls with a prompt part that crashes engines away from them

Cause: a query of death. A failure was remembered for a server only, never for the content of a call, so each call with the part was placed as if nothing had happened, and repeats took further engines along.

Change: QuarantineSystem collects evidence against shared parts of prompts. A send accuses the parts of its prompt when it was lost after the head of its answer and before its first event and its server then refuses connections; an answer that begins on a part clears it. VMs exchange the evidence in datagrams. Two crashes of different servers quarantine a part that nobody saw answered, four a part that was. Calls with it are refused at once as not run, those that wait at servers are stopped, and a lost call with an accused part is held for a second before it is sent again. One call of the fleet tests the part a minute after the last crash, then ever more rarely.

--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/Journal.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/Journal.kt
@@ -43,6 +43,7 @@
     MEMBERSHIP("pomeloladder_membership_changes", "Membership changes by kind"),
     EJECTIONS("pomeloladder_outlier_ejections", "Backend servers taken out of routing by reason"),
     ENGINE_ORDERS("pomeloladder_engine_orders", "Engine orders by result"),
+    QUARANTINE("pomeloladder_quarantine", "Crashes and quarantined prompt parts by event"),
     PAUSES("pomeloladder_pauses", "Detected pauses of this process"),
     LOG_LINES_DROPPED("pomeloladder_log_lines_dropped", "Log lines dropped, by reason"),
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -26,7 +26,10 @@
 internal const val SLOW_FACTOR = 4.0
 
 /** Sends calls to the places that the policy chooses, within the limits for runs and retries. */
-class CallPlacer(private val placement: PlacementPolicy) {
+class CallPlacer(
+    private val placement: PlacementPolicy,
+    private val quarantine: QuarantinePolicy = RealQuarantinePolicy(),
+) {
     /** Sends [call] to the place that the policy chooses, or ends it when it cannot be sent. */
     fun place(world: GatewayWorld, tick: GatewayTick, call: Call) {
         val remainingMs = call.remainingMs(tick.nowMs)
@@ -34,6 +37,12 @@
         if (call.runs >= call.maxRuns) {
             return fail(world, tick, call, CallRefusal.OUTCOME_UNKNOWN)
         }
+        val quarantined = if (call.isStreamStarted) emptyList() else quarantinedParts(world, call)
+        if (quarantined.isNotEmpty() && !tryProbe(world, tick, call, quarantined)) {
+            val retryAfterMs = quarantined.maxOf { quarantine.probeAtMs(it) } - tick.nowMs
+            val reason = CallRefusal.QUARANTINED
+            return fail(world, tick, call, reason, maxOf(retryAfterMs, MIN_RETRY_AFTER_MS))
+        }
         when (val choice = placement.choose(world, call, tick.nowMs, tick.random)) {
             is Placement.Unavailable -> when {
                 call.isStreamStarted && !call.isRetryingAvoided -> retryAvoided(world, tick, call)
@@ -54,6 +63,35 @@
         }
     }
 
+    /**
+     * Lets [call] test its quarantined parts if a test is due. One process of the fleet does it, with
+     * a call that has not been sent yet, at a server of its own region: the other processes refuse
+     * calls with the part.
+     */
+    private fun tryProbe(
+        world: GatewayWorld,
+        tick: GatewayTick,
+        call: Call,
+        quarantined: List<SuspectPart>,
+    ): Boolean {
+        val part = quarantined.minBy { it.id.value }
+        if (quarantined.any { it.quarantine != part.quarantine }) return false
+        val isFirstSend = call.arrivals == 0 && call.spec.origin is CallOrigin.Caller
+        if (!isFirstSend || tick.nowMs < quarantine.probeAtMs(part)) return false
+        if (!isProber(world, part)) return false
+        quarantined.forEach { it.probes++ }
+        world.process.evidenceVersion++
+        call.isProbe = true
+        tick.journal.count(Counter.QUARANTINE, "probe")
+        val details = mapOf(
+            "part" to part.id,
+            "request" to call.spec.requestId,
+            "probes" to part.probes,
+        )
+        tick.journal.log(LogEvent.PART_PROBED, details)
+        return true
+    }
+
     /**
      * Retries places where a started stream failed before, since maybe only its connection broke.
      */
@@ -147,6 +185,7 @@
             "hasStarted" to call.isStreamStarted,
             "arrivals" to call.arrivals,
             "runs" to call.runs,
+            "quarantined" to quarantinedParts(world, call).joinToString(" ") { it.id.toString() },
             "servers" to servers.joinToString(" ") { describeServer(world, it, tick.nowMs) },
             "revision" to world.process.view?.revision,
         )
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -8,6 +8,7 @@
 import org.pomeloladder.configuration.ServiceId
 import org.pomeloladder.configuration.VmId
 import org.pomeloladder.decisions.Incarnation
+import org.pomeloladder.decisions.RequestId
 
 /**
  * A load report is out of date after about a second: by then the server's queue and the other load
@@ -148,6 +149,15 @@
     var arrivals = 0
     var currentSend: SendId? = null
 
+    /**
+     * Time until which the call waits for evidence about its prompt parts before it is sent again;
+     * null when it does not wait.
+     */
+    var heldUntilMs: Long? = null
+
+    /** Whether this call tests a quarantined part at a server of this region. */
+    var isProbe = false
+
     /** A send that replaces [currentSend] as soon as its connection is open. */
     var replacementSend: SendId? = null
     var isStreamStarted = false
@@ -198,6 +208,36 @@
     var tokensBeforeFirstEvent = 0L
 }
 
+/**
+ * A crash of a backend server right after it began to answer a call. It is confirmed when the server
+ * then refuses connections; until then only a connection may have broken. [requests] are the calls
+ * of this process that it accuses.
+ */
+class Crash(var atMs: Long, var isConfirmed: Boolean) {
+    val requests = LinkedHashSet<RequestId>()
+}
+
+/** A shared prompt part that servers began to answer when they crashed. */
+class SuspectPart(val id: PartId) {
+    val crashes = LinkedHashMap<CrashId, Crash>()
+
+    /** Number of calls that tested the part during its quarantine, at any process. */
+    var probes = 0
+
+    /**
+     * The parts whose calls are refused because of this one: the part itself and those that stood
+     * beside it at every crash. Only a call with all of them is refused. Empty when the part is not
+     * quarantined.
+     */
+    var quarantine = emptySet<PartId>()
+
+    val isQuarantined: Boolean
+        get() = quarantine.isNotEmpty()
+
+    /** Time of the last evidence, which decides what datagrams carry. */
+    var changedMs = 0L
+}
+
 /** What this process has learned about a service. */
 class ServiceState(val id: ServiceId) {
     val answerLengths = AnswerLengthEstimator()
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
@@ -72,9 +72,15 @@
     NO_BACKEND(RunState.NOT_RUN),
     OVERLOADED(RunState.NOT_RUN),
     NO_BUDGET(RunState.NOT_RUN),
+
+    /** A part of the prompt has crashed servers. */
+    QUARANTINED(RunState.NOT_RUN),
     TIMED_OUT(RunState.UNKNOWN),
     OUTCOME_UNKNOWN(RunState.UNKNOWN),
     STREAM_BROKEN(RunState.UNKNOWN),
+
+    /** The server crashed when it began to answer a relayed call, maybe because of that call. */
+    SERVER_CRASHED(RunState.UNKNOWN),
 }
 
 /** Whether a refused call may have run. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
@@ -92,7 +92,17 @@
 enum class NotRunReason { FULL, WRONG_INSTANCE, REJECTED, PEER_REFUSED }
 
 /** Why an answer cannot be used. */
-enum class BreakReason { CONNECTION_LOST, TRUNCATED, NOT_HTTP, UNSIGNED, WRONG_ORDER, TOO_LONG }
+enum class BreakReason {
+    CONNECTION_LOST,
+    TRUNCATED,
+    NOT_HTTP,
+    UNSIGNED,
+    WRONG_ORDER,
+    TOO_LONG,
+
+    /** A peer reports that its server crashed, maybe because of this call. */
+    CRASHED_AT_PEER,
+}
 
 /** A datagram was received from a peer. */
 data class GossipReceived(
@@ -110,12 +120,16 @@
 /** Whether the platform answered the last request. */
 data class PlatformReachability(val isReachable: Boolean) : GatewayEvent
 
-/** A health check completed. [coldForMs] is null when the server did not answer in time. */
+/**
+ * A health check completed. [coldForMs] is null when the server did not answer in time. [isRefused]
+ * is set when it refused the connection, so that nothing listens at its address.
+ */
 data class HealthChecked(
     val server: BackendServerId,
     val isHealthy: Boolean,
     val coldForMs: Long?,
     val load: LoadReport?,
+    val isRefused: Boolean = false,
 ) : GatewayEvent
 
 /**
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
@@ -6,17 +6,21 @@
 /**
  * Returns all systems. [ViewSystem] runs before [CallSystem], so that no call is routed by a view
  * that the same tick replaces.
+ * [QuarantineSystem] runs before [SendSystem], so that a call that was lost with its server is held
+ * when the same tick accuses its prompt.
  */
 fun gatewaySystems(
     self: PeerIdentity,
     placement: PlacementPolicy = RealPlacementPolicy(),
+    quarantine: QuarantinePolicy = RealQuarantinePolicy(),
 ): List<GatewaySystem> {
-    val placer = CallPlacer(placement)
+    val placer = CallPlacer(placement, quarantine)
     return listOf(
         DelaySystem(),
         SettingsSystem(),
         ViewSystem(),
         ServerSystem(),
+        QuarantineSystem(placer, quarantine),
         PeerSystem(self, placement),
         SendSystem(placer),
         CallSystem(placer),
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
@@ -43,8 +43,15 @@
     val calls = Table<CallId, Call>()
     val sends = Table<SendId, Send>()
     val services = Table<ServiceId, ServiceState>()
+    val suspectParts = Table<PartId, SuspectPart>()
     val process = GatewayState()
 
+    /** Calls that wait for evidence about their prompt parts before they are sent again. */
+    val heldCalls = LinkedHashSet<CallId>()
+
+    /** Shared parts on which an answer has begun. */
+    val answeredParts = AnsweredParts()
+
     /**
      * Shared parts that were sent to servers since the last datagrams to the peers of this region.
      */
@@ -99,6 +106,9 @@
     val isReady: Boolean
         get() = view != null && !isDraining
 
+    /** Incremented with each new evidence about suspect parts that other VMs must hear of. */
+    var evidenceVersion = 0L
+
     /** Time of the first tick, or null before it. */
     var startedMs: Long? = null
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
@@ -66,6 +66,22 @@
     @SerialName("c") val tokens: Int,
 )
 
+/** A confirmed crash, [ageMs] before the datagram was sent. */
+@Serializable
+data class CrashReport(@SerialName("a") val crash: CrashId, @SerialName("b") val ageMs: Long)
+
+/**
+ * Evidence about a prompt part that may crash servers. [answeredAgeMs] is the time since an answer
+ * last began on the part, or null if the sender knows of none.
+ */
+@Serializable
+data class PartEvidence(
+    @SerialName("a") val part: PartId,
+    @SerialName("b") val crashes: List<CrashReport>,
+    @SerialName("c") val answeredAgeMs: Long? = null,
+    @SerialName("d") val probes: Int = 0,
+)
+
 /**
  * The part of a datagram that is specific to its receiver. [echoMs] repeats the send time of the
  * last datagram from the receiver, and [echoDelayMs] is the time since it arrived. From both the
@@ -94,6 +110,7 @@
     @SerialName("i") val services: List<ServiceLoad> = emptyList(),
     @SerialName("j") val cached: List<CachedPart> = emptyList(),
     @SerialName("k") val others: List<PeerAddress> = emptyList(),
+    @SerialName("l") val evidence: List<PartEvidence> = emptyList(),
 )
 
 /** A VM that the sender considers live, listed for peers that do not know it yet. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Ids.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Ids.kt
@@ -1,5 +1,5 @@
 /*
- * Identifiers of routes, calls, sends and parts of prompts.
+ * Identifiers of routes, calls, sends, parts of prompts and crashes.
  */
 package org.pomeloladder.gateway
 
@@ -34,3 +34,14 @@
         const val HEX = 16
     }
 }
+
+/** Identifies the crash of one incarnation of a backend server, for all processes alike. */
+@Serializable
+@JvmInline
+value class CrashId(val value: Long) {
+    override fun toString() = value.toULong().toString(HEX)
+
+    private companion object {
+        const val HEX = 16
+    }
+}
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/OtherRegions.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/OtherRegions.kt
@@ -25,6 +25,7 @@
 private fun canRelayTo(world: GatewayWorld, call: Call, peer: Peer, nowMs: Long): Boolean {
     val region = peer.identity.region
     return region != world.self.region &&
+        !call.isProbe &&
         call.route.allowsRegion(region) &&
         peer.isLive &&
         peer.isReady &&
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
@@ -65,6 +65,9 @@
 /** Maximum number of other VMs listed in one datagram. */
 private const val MAX_LISTED_VMS = 5
 
+/** Minimum interval between datagrams that are sent early because of new evidence. */
+private const val MIN_EVIDENCE_INTERVAL_MS = 100L
+
 /** Minimum interval between scans of the peer table. Ticks run much more often, on every event. */
 private const val SCAN_INTERVAL_MS = 20L
 
@@ -91,6 +94,8 @@
     private val links = RegionLinks(self)
     private val probedMs = HashMap<Address, Long>()
     private var announcedState = AnnouncedState()
+    private var announcedEvidence = 0L
+    private var evidenceSentMs = Long.MIN_VALUE / 2
     private var lastScanMs = Long.MIN_VALUE / 2
     private var lastSelectionMs = Long.MIN_VALUE / 2
 
@@ -113,13 +118,23 @@
             lastScanMs = tick.nowMs
             updateLinks(world, tick)
             updateLiveness(world, tick)
-            sendDue(world, tick, hasStateChanged)
+            sendDue(world, tick, isUrgent = hasStateChanged || hasEvidenceToSend(world, tick))
             announcedState = state
         }
         if (hasReceived || areTotalsStale(world)) updatePeerTotals(world)
         tick.wakeAt(tick.nowMs + MIN_LOCAL_INTERVAL_MS / 2)
     }
 
+    /** Whether evidence about prompt parts is sent now instead of with the next datagrams. */
+    private fun hasEvidenceToSend(world: GatewayWorld, tick: GatewayTick): Boolean {
+        val version = world.process.evidenceVersion
+        if (version == announcedEvidence) return false
+        if (tick.nowMs - evidenceSentMs < MIN_EVIDENCE_INTERVAL_MS) return false
+        announcedEvidence = version
+        evidenceSentMs = tick.nowMs
+        return true
+    }
+
     private fun updateLinks(world: GatewayWorld, tick: GatewayTick) {
         if (tick.nowMs - lastSelectionMs < LINK_SELECTION_INTERVAL_MS) return
         lastSelectionMs = tick.nowMs
@@ -220,8 +235,8 @@
         world.peers.removeIf { tick.nowMs - it.lastHeardMs > PEER_RETENTION_MS }
     }
 
-    private fun sendDue(world: GatewayWorld, tick: GatewayTick, hasStateChanged: Boolean) {
-        if (hasStateChanged || local.isDue(tick.nowMs)) {
+    private fun sendDue(world: GatewayWorld, tick: GatewayTick, isUrgent: Boolean) {
+        if (isUrgent || local.isDue(tick.nowMs)) {
             sendAll(
                 tick,
                 local,
@@ -230,7 +245,7 @@
             )
             world.recentlyCached.clear()
         }
-        if (hasStateChanged || remote.isDue(tick.nowMs)) {
+        if (isUrgent || remote.isDue(tick.nowMs)) {
             val linked = world.peers.filter { !isLocal(it) && isLinked(it) }
             if (linked.isNotEmpty()) sendAll(tick, remote, linked, messageFor(world, tick, false))
         }
@@ -290,6 +305,7 @@
             services = if (isLocal) emptyList() else serviceLoads(world, tick),
             cached = if (isLocal) world.recentlyCached.takeLast(MAX_CACHED_PARTS) else emptyList(),
             others = others.map { PeerAddress(it.vm, it.identity.gossip, it.identity.region) },
+            evidence = evidenceReports(world, tick.nowMs),
         )
     }
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -110,8 +110,8 @@
         when (val outcome = event.outcome) {
             is SendOutcome.Answered -> onAnswered(world, tick, call, send, outcome.status)
             is SendOutcome.NotRun -> onNotRun(world, tick, call, send, outcome)
-            is SendOutcome.Broken -> onBroken(world, tick, call, send)
-            SendOutcome.Cancelled -> onBroken(world, tick, call, send)
+            is SendOutcome.Broken -> onBroken(world, tick, call, send, outcome.reason)
+            SendOutcome.Cancelled -> onBroken(world, tick, call, send, null)
         }
     }
 
@@ -177,7 +177,13 @@
         placer.place(world, tick, call)
     }
 
-    private fun onBroken(world: GatewayWorld, tick: GatewayTick, call: Call, send: Send) {
+    private fun onBroken(
+        world: GatewayWorld,
+        tick: GatewayTick,
+        call: Call,
+        send: Send,
+        reason: BreakReason?,
+    ) {
         call.arrivals++
         call.runs++
         call.mayHaveRun = true
@@ -186,7 +192,27 @@
             return placer.fail(world, tick, call, CallRefusal.OUTCOME_UNKNOWN)
         }
         tick.journal.count(Counter.RETRIES, if (call.isStreamStarted) "resume" else "broken")
-        placer.place(world, tick, call)
+        when {
+            !mayCrashServers(world, call, reason) -> placer.place(world, tick, call)
+            // The process that received the call from its caller holds it.
+            call.spec.origin is CallOrigin.Peer ->
+                placer.fail(world, tick, call, CallRefusal.SERVER_CRASHED)
+            else -> {
+                call.heldUntilMs = tick.nowMs + HOLD_MS
+                world.heldCalls += call.id
+                tick.wakeAt(tick.nowMs + HOLD_MS)
+            }
+        }
+    }
+
+    /**
+     * Whether [call] may be the reason for the crash of the server that it was lost with, so that
+     * the next server may crash as well.
+     */
+    private fun mayCrashServers(world: GatewayWorld, call: Call, reason: BreakReason?): Boolean {
+        if (call.isStreamStarted) return false
+        val hasCrashedAtPeer = reason == BreakReason.CRASHED_AT_PEER && !isProven(world, call)
+        return hasCrashedAtPeer || isSuspect(world, call)
     }
 
     /** Starts a replacement for a repeatable call whose server has been silent for too long. */
@@ -330,6 +356,12 @@
         /** A server that this process has not heard from for this long gets a health check. */
         const val SILENCE_TIMEOUT_MS = 1_000L
 
+        /**
+         * How long a call that may crash servers waits for evidence of other VMs. It arrives within
+         * two intervals between datagrams to other regions.
+         */
+        const val HOLD_MS = 1_000L
+
         /** Minimum time between health checks of one server; longer than one may take. */
         const val HEALTH_CHECK_INTERVAL_MS = 500L
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/CallerConnection.kt
@@ -214,6 +214,7 @@
         if (isRelay && reason.runState == RunState.NOT_RUN) {
             Relay.markRefused(response.headers())
         }
+        if (isRelay && reason == CallRefusal.SERVER_CRASHED) Relay.markCrashed(response.headers())
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0)
         setCloseHeader(response.headers())
         finish(response)
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/Fetcher.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/Fetcher.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.FullHttpResponse
@@ -20,6 +21,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
+import java.net.ConnectException
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 import org.pomeloladder.configuration.Address
@@ -33,8 +35,15 @@
 sealed interface FetchResult {
     class Completed(val status: Int, val headers: HttpHeaders, val body: ByteArray) : FetchResult
 
-    /** No valid response in time. [isClosed] is true if the server closed the connection. */
-    data class Failed(val cause: String, val isClosed: Boolean = false) : FetchResult
+    /**
+     * No valid response in time. [isClosed] is true if the server closed the connection, and
+     * [isRefused] if it refused to open one.
+     */
+    data class Failed(
+        val cause: String,
+        val isClosed: Boolean = false,
+        val isRefused: Boolean = false,
+    ) : FetchResult
 }
 
 /** Sends GET requests on the traffic thread. */
@@ -80,7 +89,10 @@
             if (result.isSuccess) {
                 connection.start(uri, timeoutMs, onResult)
             } else {
-                onResult(FetchResult.Failed(result.cause().toString()))
+                val cause = result.cause()
+                // Netty's timeout is a ConnectException too, but a silent host refuses nothing.
+                val isRefused = cause is ConnectException && cause !is ConnectTimeoutException
+                onResult(FetchResult.Failed(cause.toString(), isRefused = isRefused))
             }
         }
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -452,6 +452,7 @@
                 isHealthy = health?.isHealthy == true,
                 coldForMs = health?.coldForMs,
                 load = health?.load,
+                isRefused = result is FetchResult.Failed && result.isRefused,
             )
             events.post(event)
         }
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/Relay.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/Relay.kt
@@ -28,6 +28,7 @@
 internal object Relay {
     private const val ENVELOPE = "relay-envelope"
     private const val REFUSED = "relay-refused"
+    private const val CRASHED = "relay-crashed"
     private val cbor = Cbor { ignoreUnknownKeys = true }
 
     fun writeEnvelope(headers: HttpHeaders, envelope: RelayEnvelope) {
@@ -57,4 +58,11 @@
     }
 
     fun isRefused(headers: HttpHeaders): Boolean = headers.contains(REFUSED)
+
+    /** Marks a response as the failure of a call whose server crashed as it began to answer. */
+    fun markCrashed(headers: HttpHeaders) {
+        headers.set(CRASHED, "1")
+    }
+
+    fun isCrashed(headers: HttpHeaders): Boolean = headers.contains(CRASHED)
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -391,6 +391,8 @@
     ): SendOutcome? = when {
         active.target is SendTarget.Peer && Relay.isRefused(headers) ->
             SendOutcome.NotRun(NotRunReason.PEER_REFUSED, hasArrived = false)
+        active.target is SendTarget.Peer && Relay.isCrashed(headers) ->
+            SendOutcome.Broken(BreakReason.CRASHED_AT_PEER)
         responseHead.isWrongInstance -> SendOutcome.NotRun(NotRunReason.WRONG_INSTANCE)
         responseHead.isMarkedNotRun && responseHead.statusImpliesNotRun ->
             SendOutcome.NotRun(NotRunReason.FULL)
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/DeadlyPartTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/DeadlyPartTest.kt
@@ -1,11 +1,11 @@
 package org.pomeloladder.gateway
 
 import kotlin.random.Random
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.pomeloladder.configuration.RegionId
 import org.pomeloladder.decisions.RequestId
 import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isLessThanOrEqualTo
@@ -22,15 +22,15 @@
         isResumable = true
     }
 
-    private fun prompt(document: PartId) = Prompt(
-        parts = listOf(
-            PromptPart(PartId(1L + random.nextInt(PREFIXES)), 1_000),
-            PromptPart(document, 1_500),
-            PromptPart(PartId(random.nextLong()), 500),
-        ),
-        promptTokens = 3_000,
-        outputTokens = 50,
-    )
+    private fun prompt(document: PartId): Prompt {
+        val prefix = PartId(1L + random.nextInt(PREFIXES))
+        // A deadly part stands beside one that sound calls use as well.
+        val shared = if (document == DEADLY) listOf(SHARED_DOCUMENT, DEADLY) else listOf(document)
+        val parts = (listOf(prefix) + shared + PartId(random.nextLong())).map {
+            PromptPart(it, 800)
+        }
+        return Prompt(parts, promptTokens = parts.size * 800, outputTokens = 50)
+    }
 
     private fun send(document: PartId): RequestId {
         val region = listOf(NORTH, SOUTH, EAST)[random.nextInt(3)]
@@ -40,7 +40,11 @@
     private fun send(region: RegionId, document: PartId) =
         fleet.call(region, random.nextInt(3), brief, prompt(document))
 
-    private fun sendSound(): RequestId = send(PartId(100L + random.nextInt(DOCUMENTS)))
+    private fun sendSound(): RequestId = send(
+        PartId(
+            SHARED_DOCUMENT.value + random.nextInt(DOCUMENTS),
+        ),
+    )
 
     /** Plays [durationMs] of traffic, of which one call in [deadlyOneIn] has the deadly part. */
     private fun play(durationMs: Long, deadlyOneIn: Int) {
@@ -68,7 +72,6 @@
 
     // Guards against requests of one kind that crash one engine after the other (BUDGET).
     @Test
-    @Tag("known-red")
     fun `a part that crashes engines reaches at most three more once all processes can know`() {
         start()
         play(25_000, deadlyOneIn = 20)
@@ -83,7 +86,6 @@
     // Guards against sound requests that fail with the engines that a deadly part crashes, or that
     // are refused because they share other parts with it (LOST).
     @Test
-    @Tag("known-red")
     fun `sound calls with the same first part are served while deadly ones still come`() {
         start()
         play(25_000, deadlyOneIn = 20)
@@ -94,8 +96,37 @@
         expectThat(failed.toDouble() / late.size).isLessThanOrEqualTo(0.02)
     }
 
+    // Guards against a part that stays refused although the engines are mended, and against a test
+    // of it at every process.
+    @Test
+    fun `a part is tested a few times and released once engines are mended`() {
+        start()
+        play(10_000, deadlyOneIn = 20)
+        val crashes = fleet.crashesMs.size
+        play(200_000, deadlyOneIn = 20)
+        val tests = fleet.crashesMs.size - crashes
+        fleet.deadlyPart = null
+        play(260_000, deadlyOneIn = 20)
+        fleet.refusals.clear()
+        play(5_000, deadlyOneIn = 20)
+
+        expectThat(tests).isEqualTo(2)
+        expectThat(fleet.refusals.values.count { it == CallRefusal.QUARANTINED }).isEqualTo(0)
+    }
+
+    // Guards against losing the evidence when the VMs of a region cannot hear the others.
+    @Test
+    fun `a region that is cut off finds the part by itself`() {
+        start()
+        fleet.isolate(NORTH)
+        play(25_000, deadlyOneIn = 20)
+
+        expectThat(fleet.crashesMs.size).isLessThanOrEqualTo(10)
+    }
+
     private companion object {
         val DEADLY = PartId(0xdead)
+        val SHARED_DOCUMENT = PartId(100)
         const val PREFIXES = 4
         const val DOCUMENTS = 60
         const val CALL_INTERVAL_MS = 25L
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
@@ -216,17 +216,19 @@
             return
         }
         val (origin, send) = relay
-        val outcome = if (command.reason.runState == RunState.NOT_RUN) {
-            SendOutcome.NotRun(NotRunReason.PEER_REFUSED, hasArrived = false)
-        } else {
-            SendOutcome.Answered(502)
+        val outcome = when {
+            command.reason.runState == RunState.NOT_RUN ->
+                SendOutcome.NotRun(NotRunReason.PEER_REFUSED, hasArrived = false)
+            command.reason == CallRefusal.SERVER_CRASHED ->
+                SendOutcome.Broken(BreakReason.CRASHED_AT_PEER)
+            else -> SendOutcome.Answered(502)
         }
         deliver(vm, origin) { origin.inbox += SendEnded(send, outcome, null) }
     }
 
     private fun checkHealth(vm: Vm, command: CheckHealth) {
         val isUp = byEngine.getValue(command.server).isUp(nowMs)
-        val checked = HealthChecked(command.server, isUp, if (isUp) 0 else null, null)
+        val checked = HealthChecked(command.server, isUp, if (isUp) 0 else null, null, !isUp)
         schedule(nowMs + LOCAL_DELAY_MS) { vm.inbox += checked }
     }
 
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
@@ -25,16 +25,21 @@
 import org.pomeloladder.gateway.RefuseCall
 import org.pomeloladder.gateway.ReplacedSend
 import org.pomeloladder.gateway.SendEnded
+import org.pomeloladder.gateway.SendId
 import org.pomeloladder.gateway.SendNotWritten
 import org.pomeloladder.gateway.SendOutcome
 import org.pomeloladder.gateway.SendReplaced
+import org.pomeloladder.gateway.SendTarget
+import org.pomeloladder.gateway.StartSend
 import org.pomeloladder.gateway.StopGateway
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.endsWith
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
+import strikt.assertions.isTrue
 import strikt.assertions.startsWith
 
 class GatewayTrafficTest {
@@ -412,6 +417,48 @@
             .isEqualTo(NotWrittenReason.CONNECT_FAILED)
     }
 
+    // Guards against taking a silent server for one that crashed.
+    @Test
+    fun `a health check tells a refused connection from a silent server`() {
+        val id = BackendServerId("s")
+        traffic.execute(CheckHealth(id, Address("127.0.0.1", freePort()), "/health"))
+        val gone = traffic.await<HealthChecked>()
+        traffic.execute(CheckHealth(id, Address("127.0.0.1", server.port), "/health"))
+        val silent = traffic.await<HealthChecked>()
+
+        expectThat(gone.isRefused).isTrue()
+        expectThat(silent.isRefused).isFalse()
+    }
+
+    // Guards against a relayed call that crashes a server in each region.
+    @Test
+    fun `a peer learns that the server of its relayed call crashed`() {
+        val caller = traffic.caller()
+        val call = traffic.request(caller, "r1")
+        val peer = SendTarget.Peer(VmId("p"), Address("127.0.0.1", server.port), 1)
+        traffic.execute(StartSend(SendId(99), call, peer, 5_000, 1, isStream = true, 1_000))
+        val connection = server.accept()
+        connection.readHead()
+        connection.write(
+            "HTTP/1.1 502 Bad Gateway\r\nrelay-crashed: 1\r\ncontent-length: 0\r\n\r\n",
+        )
+
+        expectThat(traffic.await<SendEnded>().outcome)
+            .isEqualTo(SendOutcome.Broken(BreakReason.CRASHED_AT_PEER))
+    }
+
+    @Test
+    fun `a relayed call whose server crashed is refused with a mark for the peer`() {
+        val socket = traffic.peer()
+        val envelope = DefaultHttpHeaders()
+        Relay.writeEnvelope(envelope, RelayEnvelope(VmId("other"), 1, 5_000))
+        val fields = envelope.joinToString("") { "${it.key}: ${it.value}\r\n" }
+        val call = traffic.request(socket, "r1", fields = fields)
+        traffic.execute(RefuseCall(call, CallRefusal.SERVER_CRASHED, null))
+
+        expectThat(socket.readHead()).contains("relay-crashed")
+    }
+
     @Test
     fun `a view that cannot be decoded is reported and the traffic thread keeps running`() {
         val body = "not a view"
