Bound what the subscriber gateway keeps of a server's response

What callers saw: a faulty server that sent a head, a body or a line of a stream without end filled the memory of the subscriber gateway, and the requests of all callers there ended with the process.

Change: a head may have 64 KiB, a body 4 MiB, a stream 256 KiB from one event to the next, and all bodies that are being read an eighth of the heap. Beyond, the attempt ends as perhaps run and the connection is closed. A response whose head breaks off or is too long no longer counts as answered: the client library's own error response was passed on as the server's.

The five new tests of RealBackendClientTest failed before, with 96 MiB of 96 MiB accepted for each stream and endless bodies and heads taken as complete, and pass now.

--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/RealBackendClient.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/RealBackendClient.kt
@@ -31,15 +31,30 @@
 
 private const val CONNECT_TIMEOUT_MS = 2_000L
 private const val MAX_CONNECTIONS_PER_SERVER = 1_024
+private const val MAX_HEAD_BYTES = 65_536
+
+/** Maximum size of a complete body. */
+private const val MAX_BODY_BYTES = 4 * 1024 * 1024
+
+/** Maximum number of bytes of a stream from one event to the next. */
+private const val MAX_BYTES_WITHOUT_EVENT = 256 * 1024
+
+/** Bodies that are being read may take the heap size divided by this, all together. */
+private const val HEAP_DIVISOR = 8
 
 /** [BackendClient] over HTTP/1.1. */
-class RealBackendClient(idleTimeoutMs: Long) : BackendClient {
+class RealBackendClient(
+    idleTimeoutMs: Long,
+    maxHeldBytes: Long = Runtime.getRuntime().maxMemory() / HEAP_DIVISOR,
+) : BackendClient {
+    private val bodyBudget = ByteBudget(maxHeldBytes)
     private val jetty = HttpClient().apply {
         connectTimeout = CONNECT_TIMEOUT_MS
         idleTimeout = idleTimeoutMs
         isFollowRedirects = false
         maxConnectionsPerDestination = MAX_CONNECTIONS_PER_SERVER
         userAgentField = null
+        maxResponseHeadersSize = MAX_HEAD_BYTES
     }
     private val currentAttempt = ThreadLocal<BackendAttempt>()
     private val client: DualSyncAsyncHttpHandler =
@@ -163,9 +178,12 @@
     }
 
     private fun readBody(attempt: BackendAttempt, response: Response): AttemptOutcome = try {
-        val bytes = response.body.stream.readAllBytes()
-        val contentType = response.header("Content-Type") ?: "application/json"
-        attempt.sink.onPart(attempt.id, ResponsePart.Body(response.status.code, contentType, bytes))
+        BoundedInputStream(response.body.stream, MAX_BODY_BYTES, bodyBudget).use { body ->
+            val bytes = body.readAllBytes()
+            val contentType = response.header("Content-Type") ?: "application/json"
+            val part = ResponsePart.Body(response.status.code, contentType, bytes)
+            attempt.sink.onPart(attempt.id, part)
+        }
         AttemptOutcome.Completed()
     } catch (e: IOException) {
         failed(RefusalReason.CONNECTION_LOST, e.message.orEmpty())
@@ -187,7 +205,12 @@
         }
     }
 
-    private fun readEvents(attempt: BackendAttempt, stream: InputStream): AttemptOutcome {
+    private fun readEvents(attempt: BackendAttempt, stream: InputStream): AttemptOutcome =
+        BoundedInputStream(stream, MAX_BYTES_WITHOUT_EVENT, bodyBudget).use {
+            readEvents(attempt, it)
+        }
+
+    private fun readEvents(attempt: BackendAttempt, stream: BoundedInputStream): AttemptOutcome {
         var offset = attempt.fromToken
         var usage: EngineUsage? = null
         var finishReason: String? = null
@@ -206,6 +229,7 @@
                 return AttemptOutcome.Cancelled
             }
             offset += 1
+            stream.restart()
         }
         return failed(RefusalReason.CONNECTION_LOST, "stream ended early")
     }
@@ -227,7 +251,7 @@
     private fun trackProgress(request: org.eclipse.jetty.client.Request) {
         val attempt = currentAttempt.get() ?: return
         request.onRequestBegin { attempt.isSendStarted = true }
-        request.onResponseBegin { attempt.isResponseStarted = true }
+        request.onResponseHeaders { attempt.isResponseStarted = true }
         attempt.onCancel { request.abort(IOException("attempt cancelled")) }
     }
 
--- a/daemon/src/test/kotlin/org/pomeloladder/daemon/RealBackendClientTest.kt
+++ b/daemon/src/test/kotlin/org/pomeloladder/daemon/RealBackendClientTest.kt
@@ -5,7 +5,10 @@
 import java.net.Socket
 import java.net.SocketTimeoutException
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
@@ -32,6 +35,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 
 private const val IDLE_TIMEOUT_MS = 2_000L
 private const val OK = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n"
@@ -170,6 +174,75 @@
             .isA<AttemptOutcome.Completed>()
     }
 
+    // Guards against running out of memory when a faulty server sends a body without end.
+    @Test
+    fun `an endless response body ends the attempt instead of being kept`() {
+        val written = serveEndless("HTTP/1.1 200 OK\r\n\r\n")
+
+        expectThat(run()).isUnknown()
+        expectThat(written()).isLessThan(MAX_ACCEPTED_BYTES)
+    }
+
+    @Test
+    fun `an endless line of a stream ends the attempt instead of being kept`() {
+        val written = serveEndless("HTTP/1.1 200 OK\r\n\r\ndata: ")
+
+        expectThat(run(BackendCall.SERVE)).isUnknown()
+        expectThat(written()).isLessThan(MAX_ACCEPTED_BYTES)
+    }
+
+    @Test
+    fun `endless lines of a stream without an event end the attempt`() {
+        val written = serveEndless("HTTP/1.1 200 OK\r\n\r\n", ": nothing\n".repeat(1_000))
+
+        expectThat(run(BackendCall.SERVE)).isUnknown()
+        expectThat(written()).isLessThan(MAX_ACCEPTED_BYTES)
+    }
+
+    @Test
+    fun `an endless response head ends the attempt instead of being kept`() {
+        val written = serveEndless("HTTP/1.1 200 OK\r\nfiller: ")
+
+        expectThat(run()).isUnknown()
+        expectThat(written()).isLessThan(MAX_ACCEPTED_BYTES)
+    }
+
+    @Test
+    fun `an endless answer to a lookup does not report that the order is absent`() {
+        val written = serveEndless("HTTP/1.1 200 OK\r\n\r\n")
+
+        expectThat(run(BackendCall.LOOK_UP_ORDER)).isA<BackendResult.LookupFailed>()
+        expectThat(written()).isLessThan(MAX_ACCEPTED_BYTES)
+    }
+
+    /**
+     * Answers with [start] and then [repeated] until the client closes the connection, at most
+     * [MAX_SENT_BYTES]. Returns a function that tells how many bytes the client accepted.
+     */
+    private fun serveEndless(
+        start: String,
+        repeated: String = "x".repeat(FILLER_BYTES),
+    ): () -> Long {
+        val written = AtomicLong()
+        val closed = CountDownLatch(1)
+        serve { socket ->
+            socket.readRequest()
+            try {
+                socket.write(start)
+                while (written.get() < MAX_SENT_BYTES) {
+                    socket.write(repeated)
+                    written.addAndGet(repeated.length.toLong())
+                }
+            } finally {
+                closed.countDown()
+            }
+        }
+        return {
+            closed.await(CLOSE_TIMEOUT_S, TimeUnit.SECONDS)
+            written.get()
+        }
+    }
+
     private fun strikt.api.Assertion.Builder<BackendResult>.isUnknown() =
         isA<BackendResult.Ended>().get { outcome }.isA<AttemptOutcome.Failed>()
             .get { refusal.runState }.isEqualTo(RunState.UNKNOWN)
@@ -255,5 +328,11 @@
         const val ORDER_COUNT = 20
         const val MAX_PENDING_CONNECTIONS = 16
         const val CONNECT_TIMEOUT_MS = 300
+        const val FILLER_BYTES = 16_384
+        const val MAX_SENT_BYTES = 96L * 1024 * 1024
+
+        /** The limits of the client plus what sockets and the client's reader hold. */
+        const val MAX_ACCEPTED_BYTES = 32L * 1024 * 1024
+        const val CLOSE_TIMEOUT_S = 10L
     }
 }
