Answer the calls that are still open at the end of the grace period

What callers saw: in a planned stop, calls without an answer were cut off with their connection a second before the end of the grace period, among them calls that may not be repeated, and nothing told their callers that they had been read.

Cause: ShutdownSystem stopped the process and left its calls to the closing of the sockets.

Change: when the time is up, a call whose answer has not begun ends with 502 if a server may have run it, and with 503 otherwise, and its server stops working. Streams that have begun are cut off as before, since their callers have a status already.

The new test of ShutdownSystemTest failed before with no answer at all.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -136,6 +136,13 @@
         }
     }
 
+    /** Ends [call], which a server may be working on, with [reason] or as perhaps run. */
+    fun abandon(world: GatewayWorld, tick: GatewayTick, call: Call, reason: CallRefusal) {
+        if (call.currentSend != null) call.mayHaveRun = true
+        stopSends(world, tick, call)
+        fail(world, tick, call, reason)
+    }
+
     /**
      * Ends [call] with the held answer of a server if there is one, otherwise with [reason]. A
      * started stream is aborted, since a complete answer cannot follow its events.
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
@@ -24,7 +24,7 @@
         PeerSystem(self, placement),
         SendSystem(placer),
         CallSystem(placer),
-        ShutdownSystem(),
+        ShutdownSystem(placer),
         EntrySystem(),
     )
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/QuarantineSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/QuarantineSystem.kt
@@ -257,10 +257,8 @@
             !call.isStreamStarted && quarantinedParts(world, call).any { it.id == part.id }
         }
         for (call in waiting) {
-            if (call.currentSend != null) call.mayHaveRun = true
-            stopSends(world, tick, call)
             world.heldCalls.remove(call.id)
-            placer.fail(world, tick, call, CallRefusal.QUARANTINED)
+            placer.abandon(world, tick, call, CallRefusal.QUARANTINED)
         }
     }
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ShutdownSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ShutdownSystem.kt
@@ -20,7 +20,7 @@
 private const val CHECK_INTERVAL_MS = 50L
 
 /** Stops the process after a shutdown request. */
-class ShutdownSystem : GatewaySystem {
+class ShutdownSystem(private val placer: CallPlacer) : GatewaySystem {
     override fun run(world: GatewayWorld, tick: GatewayTick) {
         val process = world.process
         tick.each<ShutdownRequested> {
@@ -36,6 +36,7 @@
         val isTimeUp = elapsedMs >= world.bounds.shutdownGraceMs - STOP_RESERVE_MS
         if (isTimeUp || haveCallersSwitched && world.calls.size == 0) {
             process.isStopped = true
+            if (isTimeUp) abandonCalls(world, tick)
             val remainingMs = world.bounds.shutdownGraceMs - elapsedMs
             val stop = StopGateway(
                 answerGraceMs = (remainingMs - CLOSE_RESERVE_MS).coerceAtLeast(0),
@@ -46,6 +47,16 @@
         tick.wakeAt(tick.nowMs + CHECK_INTERVAL_MS)
     }
 
+    /**
+     * Answers the calls that are not answered yet, since a closed connection would not even tell
+     * their callers that the process has seen them. Started streams are cut off.
+     */
+    private fun abandonCalls(world: GatewayWorld, tick: GatewayTick) {
+        for (call in world.calls.filterNot { it.isStreamStarted }) {
+            placer.abandon(world, tick, call, CallRefusal.DRAINING)
+        }
+    }
+
     private companion object {
         /** Allows for a directory response in transit and a request that is sent because of it. */
         const val SWITCH_MARGIN_MS = 500L
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ShutdownSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ShutdownSystemTest.kt
@@ -46,6 +46,27 @@
         expectThat((after + gateway.tick()).all<StopGateway>()).hasSize(1)
     }
 
+    // Guards against cutting off calls at the end of the grace period without an answer.
+    @Test
+    fun `a call that is not answered by the end of the grace period hears that it may have run`() {
+        val (call, commands) = gateway.call(chat, budgetMs = 12_000)
+        gateway.tick(ShutdownRequested)
+        val after = gateway.tick(afterMs = 7_100)
+
+        expectThat(after.only<CancelSend>().send).isEqualTo(commands.only<StartSend>().send)
+        expectThat(after.only<RefuseCall>())
+            .isEqualTo(RefuseCall(call, CallRefusal.OUTCOME_UNKNOWN, null))
+    }
+
+    @Test
+    fun `a stream that has started is not answered again at the end of the grace period`() {
+        val (_, commands) = gateway.call(chat, budgetMs = 12_000)
+        gateway.tick(AnswerStarted(commands.only<StartSend>().send, null))
+        gateway.tick(ShutdownRequested)
+
+        expectThat(gateway.tick(afterMs = 7_100).all<RefuseCall>()).isEmpty()
+    }
+
     @Test
     fun `the process stops within the grace period even if a call takes longer`() {
         gateway.call(chat, budgetMs = 12_000)
