Read no request after the last call of a stopping process

What callers saw: a request that arrived on an open or a new connection between the end of the last call and the end of the process was read and then cut off without an answer.

Change: before the process reports that it has stopped, the traffic thread closes its listeners and idle connections and reads nothing more, in the same task that found no open call.

The new test of GatewayTrafficTest failed before: the call was still opened.

--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/CallerConnection.kt
@@ -256,6 +256,12 @@
         if (exchange == null && !isReading && queued.isEmpty()) closeNow() else isPersistent = false
     }
 
+    /** Reads nothing more, and closes the connection now if no call is open on it. */
+    fun stopReading() {
+        context.channel().config().isAutoRead = false
+        if (exchange == null) closeNow()
+    }
+
     private fun closeNow() {
         isClosing = true
         context.close()
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -105,6 +105,7 @@
     private val sends = HashMap<SendId, ActiveSend>()
     private val connectionsBySend = HashMap<SendId, ServerConnection>()
     private val callerConnections = LinkedHashSet<CallerConnection>()
+    private val callerListeners = ArrayList<Channel>()
     private val activeServers = HashSet<BackendServerId>()
     private val eventGaps = HashMap<BackendServerId, EventGaps>()
     private val gossip = GossipChannel(loop, addresses.gossip, ::onGossip, onMalformedMessage)
@@ -180,6 +181,7 @@
                 }
             })
             .bind(InetSocketAddress(address.host, address.port)).awaitUninterruptibly()
+            .also { callerListeners += it.channel() }
 
     private fun publish(view: EntryView) {
         val isDrainStarting = view.isDraining && !entry.isDraining
@@ -222,7 +224,10 @@
         val nowNanos = System.nanoTime()
         val isWriting = nowNanos < writeDeadlineNanos && callerConnections.any { it.isWriting }
         val isServing = nowNanos < callDeadlineNanos && exchanges.isNotEmpty()
-        if (!isWriting && !isServing) return onStopped()
+        if (!isWriting && !isServing) {
+            stopReading()
+            return onStopped()
+        }
         loop.schedule(
             { stopWhenDone(writeDeadlineNanos, callDeadlineNanos) },
             STOP_POLL_MS,
@@ -230,6 +235,12 @@
         )
     }
 
+    /** Reads no further request: nothing will answer it. Calls that are still open are cut off. */
+    private fun stopReading() {
+        callerListeners.forEach { it.close() }
+        callerConnections.toList().forEach { it.stopReading() }
+    }
+
     override fun openCall(
         request: CompleteRequest,
         isRelay: Boolean,
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
@@ -9,6 +9,7 @@
 import org.pomeloladder.configuration.VmId
 import org.pomeloladder.gateway.AnswerStarted
 import org.pomeloladder.gateway.BreakReason
+import org.pomeloladder.gateway.CallArrived
 import org.pomeloladder.gateway.CallId
 import org.pomeloladder.gateway.CallRefusal
 import org.pomeloladder.gateway.CallerDisconnected
@@ -35,6 +36,7 @@
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.endsWith
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isNotNull
@@ -408,6 +410,23 @@
         expectThat(traffic.stops.poll(limitMs, TimeUnit.MILLISECONDS)).isNotNull()
     }
 
+    // Guards against reading a request that nothing will answer any more.
+    @Test
+    fun `no request is read between the end of the last call and the end of the process`() {
+        val kept = traffic.caller().apply { soTimeout = AWAIT_TIMEOUT_MS }
+        traffic.execute(RefuseCall(traffic.request(kept, "r1"), CallRefusal.OVERLOADED, null))
+        kept.readHead()
+        traffic.execute(StopGateway(answerGraceMs = 0, callGraceMs = 0))
+        traffic.stops.poll(AWAIT_TIMEOUT_MS.toLong(), TimeUnit.MILLISECONDS)
+        val request = "POST /x HTTP/1.1\r\nhost: h\r\nid: r2\r\ncontent-length: 0\r\n\r\n"
+        val hasWritten = runCatching { kept.write(request) }.isSuccess
+        val hasConnected = runCatching { traffic.caller().close() }.isSuccess
+
+        expectThat(runCatching { kept.getInputStream().read() }.getOrDefault(-1)).isEqualTo(-1)
+        expectThat(traffic.events.filterIsInstance<CallArrived>()).isEmpty()
+        expectThat(hasWritten && hasConnected).isFalse()
+    }
+
     @Test
     fun `a send over a refused connection is reported as not written`() {
         val caller = traffic.caller()
