Go on after an internal error that one message causes

An unexpected exception in any system ended the whole process and the calls of all its callers. A route whose services all have the weight 0, or that has none, raised one with each call on it, at every entry VM in turn.

Change: a call on such a route is refused with 503. In the route gateway an exception ends only the system's work in that tick and is logged as event 110; more than 20 within a minute stop the process as before. The control thread reports errors that are no exceptions too, where it used to end alone and leave a process that decides nothing. The subscriber gateway still stops at the first exception: it dispatches orders that run at most once.

--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/LogEvent.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/LogEvent.kt
@@ -22,6 +22,7 @@
     SETTINGS_RELOADED(107, Severity.INFO, "settings read again"),
     THREADS_LATE(108, Severity.WARN, "a thread ran late"),
     PORT_NOT_OPENED(109, Severity.ERROR, "port cannot be opened, process stops"),
+    INTERNAL_ERROR(110, Severity.ERROR, "internal error, part of a tick was dropped"),
     CONFIG_IN_FORCE(200, Severity.INFO, "configuration in force"),
     CONFIG_REFUSED(201, Severity.WARN, "configuration entry refused"),
     CONFIG_DIVERGED(202, Severity.ERROR, "configuration digest differs at the same position"),
--- a/gateway/src/main/kotlin/org/pomeloladder/entry/Gateway.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/entry/Gateway.kt
@@ -30,6 +30,7 @@
 import org.pomeloladder.gateway.gatewaySystems
 import org.pomeloladder.runtime.AsyncJournal
 import org.pomeloladder.runtime.ControlThread
+import org.pomeloladder.runtime.ErrorLimit
 import org.pomeloladder.runtime.EventSinkOf
 import org.pomeloladder.runtime.Log4jJournal
 import org.pomeloladder.runtime.Metrics
@@ -57,6 +58,10 @@
 private const val MS_PER_S = 1_000
 private const val EXIT_INVARIANT_BROKEN = 70
 
+/** More internal errors within the window stop the process. */
+private const val MAX_INTERNAL_ERRORS = 20
+private const val INTERNAL_ERROR_WINDOW_MS = 60_000L
+
 /** Callers leave a stopping VM within this time. The setting `entryTtlMaxS` can lower it. */
 private const val ENTRY_TTL_S = 2.0
 
@@ -65,6 +70,8 @@
     private val metrics = Metrics()
     private val journal = AsyncJournal(Log4jJournal(metrics))
     private val stopped = CountDownLatch(1)
+    private val errorLimit =
+        ErrorLimit(MAX_INTERNAL_ERRORS, INTERNAL_ERROR_WINDOW_MS, SystemMonotonicClock)
     private val ttlMs = (minOf(settings.bounds.entryTtlMaxS, ENTRY_TTL_S) * MS_PER_S).toLong()
     private val gossipAddress = peerAddress(settings.host, 0)
     private val relayAddress = peerAddress(settings.host, 1)
@@ -104,6 +111,7 @@
             gatewaySystems(self),
             Random(self.incarnation.value xor self.vm.hashCode().toLong()),
             journal,
+            ::onInternalError,
         ),
         clock = SystemMonotonicClock,
         metrics = metrics,
@@ -185,6 +193,12 @@
     private fun address(text: String): Address =
         checkNotNull(parseAddress(text)) { "address was not validated: $text" }
 
+    /** Keeps one message from ending the process, and with it the calls of all callers. */
+    private fun onInternalError(cause: RuntimeException) {
+        journal.log(LogEvent.INTERNAL_ERROR, mapOf("cause" to cause.stackTraceToString()))
+        if (!errorLimit.tryContinue()) throw cause
+    }
+
     private fun haltOnBrokenInvariant(cause: Throwable) {
         journal.log(LogEvent.INVARIANT_BROKEN, mapOf("cause" to cause.stackTraceToString()))
         journal.close()
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSystem.kt
@@ -3,6 +3,7 @@
  */
 package org.pomeloladder.gateway
 
+import org.pomeloladder.configuration.ServiceId
 import org.pomeloladder.decisions.Counter
 import org.pomeloladder.decisions.Latency
 import org.pomeloladder.decisions.LogEvent
@@ -70,6 +71,7 @@
             ?: return refuse(tick, event, CallRefusal.NO_ROUTE)
         if (!canFinish(world, tick, route)) return refuse(tick, event, CallRefusal.DRAINING)
         val service = chooseService(tick, route)
+            ?: return refuse(tick, event, CallRefusal.NO_BACKEND)
         val call = Call(event.call, event.spec, route, service, arrivedMs)
         call.timeoutAtMs = arrivedMs + route.timeoutMs
         event.spec.budgetMs?.let { call.deadlineAtMs = arrivedMs + it }
@@ -90,14 +92,17 @@
         return elapsedMs <= world.bounds.entryTtlMs || route.timeoutMs < availableMs
     }
 
-    private fun chooseService(tick: GatewayTick, route: Route) =
-        route.targets.first().service.takeIf { route.targets.size == 1 } ?: run {
-            var weightLeft = tick.random.nextInt(route.targets.sumOf { it.weight }.coerceAtLeast(1))
-            route.targets.first {
-                weightLeft -= it.weight
-                weightLeft < 0
-            }.service
-        }
+    /** Returns a service of [route] by weight, or null if it has none. */
+    private fun chooseService(tick: GatewayTick, route: Route): ServiceId? {
+        if (route.targets.size == 1) return route.targets.single().service
+        val targets = route.targets.filter { it.weight > 0 }
+        if (targets.isEmpty()) return null
+        var weightLeft = tick.random.nextLong(targets.sumOf { it.weight.toLong() })
+        return targets.first {
+            weightLeft -= it.weight
+            weightLeft < 0
+        }.service
+    }
 
     private fun refuse(tick: GatewayTick, event: CallArrived, reason: CallRefusal) {
         val details = mapOf(
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -134,14 +134,7 @@
             ?: handlers.firstNotNullOfOrNull { (address, handler) ->
                 bindFailure(address, ApiListener(address, handler).open(group))
             }
-        if (failure == null) {
-            loop.scheduleAtFixedRate(
-                ::sweep,
-                SWEEP_INTERVAL_MS,
-                SWEEP_INTERVAL_MS,
-                TimeUnit.MILLISECONDS,
-            )
-        }
+        if (failure == null) scheduleSweep()
         return failure
     }
 
@@ -496,7 +489,13 @@
         return Response(Status.OK).body(MemoryBody(bytes))
     }
 
+    private fun scheduleSweep() {
+        loop.schedule(::sweep, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS)
+    }
+
     private fun sweep() {
+        // Before the work, so that an error in it does not end all sweeps.
+        scheduleSweep()
         val nowNanos = System.nanoTime()
         reportDelay(SystemMonotonicClock.nowMs())
         if (activeServers.isNotEmpty()) {
--- a/runtime/src/main/kotlin/org/pomeloladder/runtime/ControlThread.kt
+++ b/runtime/src/main/kotlin/org/pomeloladder/runtime/ControlThread.kt
@@ -66,8 +66,9 @@
                 nextTickMs = tick(batch)
             } catch (_: InterruptedException) {
                 continue
-            } catch (@Suppress("TooGenericExceptionCaught") failure: RuntimeException) {
-                // Expected failures are values, so an exception here means a violated invariant.
+            } catch (@Suppress("TooGenericExceptionCaught") failure: Throwable) {
+                // Expected failures are values, so an exception here means a violated invariant. An
+                // error must not end this thread alone: the process would go on without decisions.
                 isRunning = false
                 onFailure(failure)
             }
