Close a request whose body only trickles in

A caller that sent a byte now and then kept its connection and the body read so far for as long as it liked, since each byte restarted the idle time.

Change: a body that arrives for longer than the idle limit must have arrived at one byte a millisecond on average, else its connection is closed. A slow but steady request is read as before.

--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/CallerConnection.kt
@@ -67,6 +67,7 @@
     private var isClosing = false
     private var lastActivityNanos = System.nanoTime()
     private var isReading = false
+    private var readStartedNanos = 0L
     private var lastWrite: ChannelFuture? = null
 
     /** Whether the end of the last response is not flushed to the socket yet. */
@@ -122,6 +123,7 @@
         }
         head = request
         isReading = true
+        readStartedNanos = System.nanoTime()
         body.reset()
         val length = HttpUtil.getContentLength(request, 0L)
         if (length > callHandler.entry.limits.maxBodyBytes) {
@@ -240,7 +242,10 @@
         }
     }
 
-    /** Closes the connection if it was idle or stalled in a request for longer than its limit. */
+    /**
+     * Closes the connection if it was idle or stalled in a request for longer than its limit, or if
+     * a request trickles in.
+     */
     fun closeIfTimedOut(nowNanos: Long) {
         if (exchange != null || isClosing) return
         val limits = callHandler.entry.limits
@@ -248,7 +253,13 @@
         // Configured limits apply to callers; peers reuse connections for a fixed time.
         val idleMs = if (isRelay) RELAY_IDLE_TIMEOUT_MS else limits.idleTimeoutMs
         val timeoutMs = if (isReading) maxOf(limits.headerTimeoutMs, idleMs) else idleMs
-        if (inactiveMs > timeoutMs) closeNow()
+        if (inactiveMs > timeoutMs || isReading && isTooSlow(nowNanos, timeoutMs)) closeNow()
+    }
+
+    /** Whether the body has been arriving for [timeoutMs] and at less than the minimum rate. */
+    private fun isTooSlow(nowNanos: Long, timeoutMs: Long): Boolean {
+        val readingMs = (nowNanos - readStartedNanos) / NANOS_PER_MS
+        return readingMs > timeoutMs + body.size() / MIN_BODY_BYTES_PER_MS
     }
 
     /** Closes the connection now if it is idle, otherwise after the current response. */
@@ -269,5 +280,8 @@
 
     private companion object {
         const val NANOS_PER_MS = 1_000_000L
+
+        /** A slower caller is stalled; the slowest links in use carry many times as much. */
+        const val MIN_BODY_BYTES_PER_MS = 1
     }
 }
