--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/QuarantineSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/QuarantineSystem.kt
@@ -93,15 +93,13 @@
         event: SendEnded,
         reason: BreakReason,
     ) {
-        if (reason != BreakReason.CONNECTION_LOST && reason != BreakReason.TRUNCATED) return
-        if (event.headMs == null || event.events > 0) return
         val send = world.sends[event.send] ?: return
         val call = world.calls[send.call] ?: return
         val place = send.place as? SendPlace.AtServer ?: return
         val backend = world.backends[place.server] ?: return
         val isLeaving = backend.record.isDraining || backend.missingSinceMs != null
         val parts = call.spec.prompt?.sharedParts.orEmpty()
-        if (send.isStarted || isLeaving || parts.isEmpty()) return
+        if (parts.isEmpty() || isLeaving || !wasLostBeforeFirstEvent(send, event, reason)) return
         val id = crashOf(backend)
         val isConfirmed = world.suspectParts.any { it.crashes[id]?.isConfirmed == true }
         for (part in parts) {
@@ -113,6 +111,10 @@
         if (!isConfirmed) checkServer(world, tick, backend)
     }
 
+    /** Whether the connection of [send] broke after the head of its answer and before an event. */
+    private fun wasLostBeforeFirstEvent(send: Send, event: SendEnded, reason: BreakReason) =
+        reason in LOST_CONNECTION && event.headMs != null && event.events == 0 && !send.isStarted
+
     private fun checkServer(world: GatewayWorld, tick: GatewayTick, backend: Backend) {
         val checkedMs = lastCheckMs[backend.id]
         if (checkedMs != null && tick.nowMs - checkedMs < CHECK_INTERVAL_MS) return
@@ -282,6 +284,7 @@
 
     private companion object {
         val SUCCESS = 200..299
+        val LOST_CONNECTION = setOf(BreakReason.CONNECTION_LOST, BreakReason.TRUNCATED)
         const val MAX_PROBES = 30
     }
 }
