--- a/review/standins/Kit.java
+++ b/review/standins/Kit.java
@@ -4,6 +4,8 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintWriter;
+import java.net.BindException;
+import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -19,6 +21,9 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -36,6 +41,11 @@
 
     private static final long START_NANOS = System.nanoTime();
     private static final List<Gateway> GATEWAYS = new ArrayList<>();
+    private static final ScheduledExecutorService TIMER = Executors.newScheduledThreadPool(1, task -> {
+        Thread thread = new Thread(task, "timer");
+        thread.setDaemon(true);
+        return thread;
+    });
     private static PrintWriter record;
     private static Path temp;
 
@@ -65,6 +75,7 @@
             log("could not run: " + e);
             e.printStackTrace();
             code = NOT_RUN;
+            for (Gateway gateway : GATEWAYS) note(gateway.host + ":\n" + Files.readString(gateway.output));
         }
         log(code == HELD ? "result: the rule held" : code == BROKEN ? "result: the rule was broken" : "result: not run");
         Runtime.getRuntime().exit(code);
@@ -125,11 +136,32 @@
         }
     }
 
+    private static int nextPort = 10_000 + 20 * ThreadLocalRandom.current().nextInt(1_000);
+
+    /**
+     * Returns a port that is free on all addresses of a case. It lies below the range from which the system
+     * takes the ports of outgoing connections.
+     */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket()) {
-            socket.setReuseAddress(true);
-            socket.bind(new InetSocketAddress("127.0.0.1", 0));
-            return socket.getLocalPort();
+        return freePorts(1);
+    }
+
+    private static synchronized int freePorts(int count) throws IOException {
+        while (true) {
+            int first = nextPort;
+            nextPort = nextPort > 31_000 ? 10_000 : nextPort + count;
+            try {
+                for (int host = 1; host < 6; host++) {
+                    for (int port = first; port < first + count; port++) {
+                        InetSocketAddress address = new InetSocketAddress("127.0.0." + host, port);
+                        new DatagramSocket(address).close();
+                        new ServerSocket(port, 1, address.getAddress()).close();
+                    }
+                }
+                return first;
+            } catch (BindException e) {
+                // Another program uses one of these ports.
+            }
         }
     }
 
@@ -182,12 +214,16 @@
 
     /** The platform's store: revisions, one page per range call, watches. */
     static final class Store {
-        private record Item(String key, String value, long rev) {}
+        private record Item(String key, String value, long rev, long ms) {}
+
+        /** Changes are kept for HistoryS. */
+        private static final int HISTORY_MS = 20_000;
 
         final ServerSocket server = new ServerSocket();
         private final TreeMap<String, Item> items = new TreeMap<>();
         private final List<Item> history = new ArrayList<>();
         private long revision = 1;
+        private long droppedRevision = 0;
 
         /** While true, the store reads calls and answers nothing. */
         volatile boolean isSilent = false;
@@ -207,11 +243,11 @@
         }
 
         synchronized void put(String key, String value) {
-            write(new Item(key, value, ++revision));
+            write(new Item(key, value, ++revision, nowMs()));
         }
 
         synchronized void remove(String key) {
-            write(new Item(key, null, ++revision));
+            write(new Item(key, null, ++revision, nowMs()));
         }
 
         private void write(Item item) {
@@ -229,7 +265,8 @@
                     while (isSilent) sleep(50);
                     String body = uri.startsWith("/pomeloladder/kv-range") ? range() : watch(uri);
                     byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-                    String head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
+                    if (bytes.length > 100_000) note("store answers " + uri + " with " + bytes.length + " bytes");
+                    String head = "HTTP/1.1 " + (bytes.length == 0 ? "410 Gone" : "200 OK") + "\r\nContent-Type: application/json\r\nContent-Length: "
                         + bytes.length + "\r\n\r\n";
                     while (isSilent) sleep(50);
                     socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
@@ -253,6 +290,8 @@
                     throw new IOException(e);
                 }
             }
+            while (!history.isEmpty() && history.get(0).ms < nowMs() - HISTORY_MS) droppedRevision = history.remove(0).rev;
+            if (after < droppedRevision) return "";
             return "{\"events\":[" + json(history.stream().filter(i -> i.rev > after).toList()) + "],\"CurrentRev\":"
                 + revision + "}";
         }
@@ -483,6 +522,8 @@
         Answer answer = new Answer();
         long startMs = nowMs();
         try (Socket socket = new Socket()) {
+            // A blocked write has no time limit of its own.
+            var giveUp = TIMER.schedule(() -> reset(socket), timeoutMs + 1_000, TimeUnit.MILLISECONDS);
             socket.connect(new InetSocketAddress(host, port), 1_000);
             socket.setSoTimeout(timeoutMs);
             socket.setTcpNoDelay(true);
@@ -501,6 +542,7 @@
             answer.status = Integer.parseInt(answer.head.first.split(" ")[1]);
             readAnswerBody(in, answer);
             answer.isComplete = true;
+            giveUp.cancel(false);
         } catch (IOException e) {
             answer.failure = e.toString();
         }
@@ -536,7 +578,7 @@
         final int readiness = freePort();
         final int directory = freePort();
         final int metrics = freePort();
-        final int peers = 20_000 + (int) (ProcessHandle.current().pid() % 20_000);
+        final int peers = freePorts(16);
 
         Ports() throws IOException {}
     }
