--- a/review/standins/LargeBodies.java
+++ b/review/standins/LargeBodies.java
@@ -28,7 +28,7 @@
 
     private static int run() throws Exception {
         int callers = setting("CALLERS", 160);
-        int rounds = setting("ROUNDS", 8);
+        int rounds = setting("ROUNDS", 12);
         byte[] body = new byte[Kit.TROUBLE ? setting("BODY_BYTES", 1_000_000) : 18_000];
         Kit.Store store = new Kit.Store();
         for (int i = 0; i < 3; i++) {
@@ -74,7 +74,16 @@
             }
             for (Thread thread : threads) thread.join();
             Kit.log("burst " + round + ": " + Kit.COUNTS + ", run " + largeRuns + ", alive=" + gateway.isAlive());
-            if (!gateway.isAlive() || !gateway.isReady() && !gateway.isReady()) break;
+            if (gateway.isAlive() && !gateway.isReady()) Kit.sleep(QUIET_MS);
+            if (!gateway.isAlive()) {
+                // The platform starts a process again that ended by itself.
+                Kit.log("the process ended by itself with exit code " + gateway.exitValue() + " and is started again");
+                gateway.start();
+                Kit.await("gateway is ready again", 20_000, gateway::isReady);
+                Kit.sleep(1_500);
+            } else if (!gateway.isReady()) {
+                break;
+            }
             Kit.sleep(500);
         }
         isLoadOver[0] = true;
