Complete a response without a length only at an orderly end

What callers saw: an engine answered early, with neither a length nor chunks, and crashed in the answer.

Cause: a response without a length was complete at any end of the connection, unless exceptionCaught had seen a reset. While the request is still being written, Netty handles the write first. The write fails with the reset, Netty closes the channel without exceptionCaught, and the HTTP decoder ends the body.

Beside it: a server that crashes after it has read all bytes so far ends its side in order and resets afterwards, when more of the request arrives.

Fix: the connection is read with half closure, so that an orderly end is an event of its own, which comes before the decoder ends the body. Only this event completes such a response, and only when the request has been written; until then a failed write truncates it. A server may still answer early, end its side and read on. Responses without a body by their status do not depend on the end of the connection.

--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -9,8 +9,10 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -118,7 +120,15 @@
     /** Bytes received since the response last made progress. */
     private var bytesSinceProgress = 0L
     private var isReusable = true
-    private var wasReset = false
+
+    /** The write of the current request. */
+    private var requestWrite: ChannelFuture? = null
+
+    /** Whether the server has ended its side of the connection in order. */
+    private var hasInputEnded = false
+
+    /** Whether a response has ended that is complete once the request has been written. */
+    private var isAwaitingRequestWrite = false
     var serverKeepAliveMs: Long? = null
         private set
     var idleSinceNanos = System.nanoTime()
@@ -151,7 +161,7 @@
         ) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, exchange.body.size)
         }
-        channel.writeAndFlush(request)
+        requestWrite = channel.writeAndFlush(request)
     }
 
     /** Cancels the current request by closing the connection. */
@@ -178,11 +188,21 @@
         return false
     }
 
+    override fun onInputEnded() {
+        isReusable = false
+        hasInputEnded = true
+    }
+
     fun close() {
         isReusable = false
         channel.close()
     }
 
+    override fun userEventTriggered(ctx: ChannelHandlerContext, event: Any) {
+        // By now the decoder has ended a response without a length.
+        if (event is ChannelInputShutdownEvent && !isAwaitingRequestWrite) close()
+    }
+
     override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
         try {
             val active = send
@@ -215,7 +235,6 @@
 
     @Deprecated("Deprecated in Netty's ChannelHandler, still the hook for inbound errors")
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
-        wasReset = true
         ctx.close()
     }
 
@@ -256,9 +275,34 @@
             response = null
             return
         }
-        if (isUnframed() && wasReset) return finish(SendOutcome.Broken(BreakReason.TRUNCATED))
         if (isUnframed()) isReusable = false
-        complete(active, responseHead)
+        if (earlyOutcome == null && isEndedByConnection()) {
+            completeIfEndIsSure(active, responseHead)
+        } else {
+            complete(active, responseHead)
+        }
+    }
+
+    /** Whether only the end of the connection has ended the response, not its framing or status. */
+    private fun isEndedByConnection() = isUnframed() && (hasInputEnded || !channel.isActive)
+
+    /**
+     * Completes a response that the end of the connection has ended, if the server ended it in
+     * order. A failed write hides a reset from later reads, and a server that crashes while the
+     * request is still being written may end its side in order first.
+     */
+    private fun completeIfEndIsSure(active: ActiveSend, responseHead: ResponseHead) {
+        if (!hasInputEnded) return finish(SendOutcome.Broken(BreakReason.TRUNCATED))
+        val write = checkNotNull(requestWrite)
+        isAwaitingRequestWrite = true
+        write.addListener {
+            if (send !== active) return@addListener
+            if (write.isSuccess) {
+                complete(active, responseHead)
+            } else {
+                finish(SendOutcome.Broken(BreakReason.TRUNCATED))
+            }
+        }
     }
 
     private fun isUnframed(): Boolean {
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnectionPool.kt
@@ -130,6 +130,8 @@
         addressPool.openCount++
         val connection = ServerConnection(target, listener)
         val bootstrap = clientBootstrap(loop, localHost, connectTimeoutMs)
+            // Without it, Netty closes the channel alike at an orderly end and at a failed write.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .handler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
                     channel.pipeline()
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/TestTraffic.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/TestTraffic.kt
@@ -151,8 +151,15 @@
     ServerSocket(0, 1, InetAddress.getByName(LOOPBACK)).use { it.localPort }
 
 /** A backend server whose response bytes the test writes itself. */
-internal class ScriptedServer(host: String = LOOPBACK, fixedPort: Int = 0) : AutoCloseable {
-    private val listener = ServerSocket().apply { bind(InetSocketAddress(host, fixedPort)) }
+internal class ScriptedServer(
+    host: String = LOOPBACK,
+    fixedPort: Int = 0,
+    receiveBufferBytes: Int? = null,
+) : AutoCloseable {
+    private val listener = ServerSocket().apply {
+        receiveBufferBytes?.let { receiveBufferSize = it }
+        bind(InetSocketAddress(host, fixedPort))
+    }
     val port: Int
         get() = listener.localPort
 
