Accuse a prompt part by any answer that a crash takes at its beginning

What callers saw: a prompt part that crashes each engine as it begins to answer was refused only if the crash came between the whole head and the first event.

Cause: a send accused its parts only with a whole head and without an event. A head that was cut counted as a response that is not HTTP, and the first event of an answer cleared its parts at once.

Fix: an answer has just begun from its first byte, be it within its head, until 0.3 s after its first event or body byte. A crash then accuses, and only an answer that lasts longer or is complete clears a part. A stream that was lost at its beginning is held before it is resumed like a call without an event, also when it was relayed, and ends if its part is quarantined meanwhile. Sound parts: since more answers are within their beginning when a failure domain fails, crashes within a quarter of a second count as one.

The test of a part's release by a probe now asks for more: the part stays quarantined at the first event and is released when the answer has lasted. The crashes of the other tests are 0.3 s apart, since closer ones count as one; that has a test of its own.

With the old rule DeadlyPartTest fails for a crash within the head and after the first event, and passes after the head; six tests of QuarantineSystemTest fail.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -37,7 +37,7 @@
         if (call.runs >= call.maxRuns) {
             return fail(world, tick, call, CallRefusal.OUTCOME_UNKNOWN)
         }
-        val quarantined = if (call.isStreamStarted) emptyList() else quarantinedParts(world, call)
+        val quarantined = quarantinedParts(world, call)
         if (quarantined.isNotEmpty() && !tryProbe(world, tick, call, quarantined)) {
             val retryAfterMs = quarantined.maxOf { quarantine.probeAtMs(it) } - tick.nowMs
             val reason = CallRefusal.QUARANTINED
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
@@ -42,7 +42,8 @@
 /**
  * A send ended. [events] counts the events of its stream, and [longestGapMs] is the longest time
  * between two of them. [headMs] is the time from the request to the head of its answer, or null
- * when no head arrived. No further event refers to this send.
+ * when no head arrived. [hasBegun] tells whether any byte of the answer arrived, and [contentAgeMs]
+ * is the time since its first event or body byte. No further event refers to this send.
  */
 data class SendEnded(
     val send: SendId,
@@ -51,6 +52,8 @@
     val events: Int = 0,
     val longestGapMs: Long = 0,
     val headMs: Long? = null,
+    val hasBegun: Boolean = headMs != null,
+    val contentAgeMs: Long? = null,
 ) : GatewayEvent
 
 /** No byte of an answer, awaited or already started, arrived for [idleMs]. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Quarantine.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Quarantine.kt
@@ -8,12 +8,27 @@
 import org.pomeloladder.configuration.VmId
 import org.pomeloladder.decisions.rendezvousFirst
 
+/**
+ * An answer that is broken off within this time after its first event or body byte had just begun.
+ * One that lasts longer proves that its prompt parts crash no server.
+ */
+internal const val BEGINNING_MS = 300L
+
+private val LOST_CONNECTION = setOf(BreakReason.CONNECTION_LOST, BreakReason.TRUNCATED)
+
 /** Maximum number of parts in one datagram, so that it fits into one packet. */
 private const val MAX_REPORTED_PARTS = 6
 
 /** Evidence is repeated in datagrams for this long, since single datagrams get lost. */
 private const val REPORTED_MS = 10_000L
 
+/** Whether [event] reports a connection that broke on which an answer had just begun. */
+internal fun wasLostAtBeginning(event: SendEnded): Boolean {
+    val reason = (event.outcome as? SendOutcome.Broken)?.reason
+    val hasLasted = event.contentAgeMs != null && event.contentAgeMs > BEGINNING_MS
+    return reason in LOST_CONNECTION && event.hasBegun && !hasLasted
+}
+
 /** Returns the quarantined shared parts because of which [call] must not be sent. */
 internal fun quarantinedParts(world: GatewayWorld, call: Call): List<SuspectPart> {
     if (world.suspectParts.size == 0) return emptyList()
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/QuarantinePolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/QuarantinePolicy.kt
@@ -18,7 +18,8 @@
 
 /**
  * Quarantines a part after crashes of different servers without an answer in between. A crash that
- * another quarantined part explains does not count. Parts with the same crashes are quarantined as a
+ * another quarantined part explains does not count, and crashes at about the same moment count as
+ * one: a failure domain that fails takes answers on many sound parts along. Parts with the same crashes are quarantined as a
  * group: calls with some of them are still sent and show which of them is sound.
  */
 class RealQuarantinePolicy : QuarantinePolicy {
@@ -38,12 +39,26 @@
     ): List<Set<PartId>> {
         val byCrashes = parts.groupBy { openCrashes(it, answered) }
         return byCrashes.entries.sortedByDescending { it.key.size }.mapNotNull { (crashes, group) ->
-            if ((crashes - explained).size < neededCrashes) return@mapNotNull null
+            val unexplainedTimesMs =
+                (crashes - explained).map { group.first().crashes.getValue(it).atMs }
+            if (countMoments(unexplainedTimesMs) < neededCrashes) return@mapNotNull null
             explained += crashes
             group.map { it.id }.toSet()
         }
     }
 
+    /** Counts the [timesMs], of which those within [MOMENT_MS] of an earlier one count as one. */
+    private fun countMoments(timesMs: List<Long>): Int {
+        var count = 0
+        var momentMs = Long.MIN_VALUE / 2
+        for (timeMs in timesMs.sorted()) {
+            if (timeMs - momentMs < MOMENT_MS) continue
+            momentMs = timeMs
+            count++
+        }
+        return count
+    }
+
     override fun probeAtMs(part: SuspectPart): Long {
         val lastCrashMs = part.crashes.values.maxOfOrNull { it.atMs } ?: 0
         return lastCrashMs + (FIRST_PROBE_DELAY_MS shl part.probes.coerceIn(0, MAX_DOUBLINGS))
@@ -56,6 +71,9 @@
         /** A part that has been answered stands beside the cause more often than it is the cause. */
         const val CRASHES_OF_PROVEN_PART = 4
 
+        /** Exceeds the time in which all VMs notice the servers of a domain that fails. */
+        const val MOMENT_MS = 250L
+
         /** Time for which a part is quarantined before the first test, which may cost a server. */
         const val FIRST_PROBE_DELAY_MS = 60_000L
         const val MAX_DOUBLINGS = 5
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/QuarantineSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/QuarantineSystem.kt
@@ -1,9 +1,10 @@
 /*
  * Finds prompt parts that crash the server that answers them, and keeps calls with such parts away
- * from servers. A call accuses the shared parts of its prompt when its server had sent the head of
- * an answer but no event, and then refuses connections. Calls that only waited at the server, and
- * servers that leave or fall silent, accuse nothing. An answer that begins on a part at any VM
- * clears it. VMs exchange the evidence in datagrams and each decides by itself.
+ * from servers. A call accuses the shared parts of its prompt when its answer had just begun and its
+ * server then refuses connections. It does not matter whether the head or the first event was cut.
+ * Calls that only waited at the server, answers that had gone on for a while, and servers that leave
+ * or fall silent accuse nothing. An answer that outlasts its beginning at any VM clears a part. VMs
+ * exchange the evidence in datagrams and each decides by itself.
  */
 package org.pomeloladder.gateway
 
@@ -43,6 +44,8 @@
 /** Maintains the table of suspect parts, and refuses or releases calls when its verdict changes. */
 class QuarantineSystem(private val placer: CallPlacer, private val policy: QuarantinePolicy) :
     GatewaySystem {
+    /** Sends whose answers have just begun, with the times of their first events. */
+    private val beginnings = LinkedHashMap<SendId, Long>()
     private val lastCheckMs = HashMap<BackendServerId, Long>()
     private var lastScanMs = Long.MIN_VALUE / 2
     private var hasNewEvidence = false
@@ -50,13 +53,15 @@
     override fun run(world: GatewayWorld, tick: GatewayTick) {
         for (event in tick.events) {
             when (event) {
-                is AnswerStarted -> recordAnswer(world, tick, event.send)
+                is AnswerStarted -> beginnings[event.send] = tick.nowMs
                 is SendEnded -> onEnded(world, tick, event)
+                is SendReplaced -> beginnings.remove(event.send)
                 is HealthChecked -> onHealthChecked(world, tick, event)
                 is GossipReceived -> event.message.evidence.forEach { merge(world, tick, it) }
                 else -> Unit
             }
         }
+        recordLastingAnswers(world, tick)
         if (tick.nowMs - lastScanMs >= SCAN_INTERVAL_MS) {
             lastScanMs = tick.nowMs
             expire(world, tick)
@@ -68,11 +73,21 @@
         sendHeldCalls(world, tick)
     }
 
+    private fun recordLastingAnswers(world: GatewayWorld, tick: GatewayTick) {
+        while (beginnings.isNotEmpty()) {
+            val (send, beganMs) = beginnings.entries.first()
+            if (tick.nowMs - beganMs <= BEGINNING_MS) return
+            beginnings.remove(send)
+            recordAnswer(world, tick, send)
+        }
+    }
+
     private fun onEnded(world: GatewayWorld, tick: GatewayTick, event: SendEnded) {
+        beginnings.remove(event.send)
         when (val outcome = event.outcome) {
             is SendOutcome.Answered ->
                 if (outcome.status in SUCCESS) recordAnswer(world, tick, event.send)
-            is SendOutcome.Broken -> accuse(world, tick, event, outcome.reason)
+            is SendOutcome.Broken -> if (wasLostAtBeginning(event)) accuse(world, tick, event)
             is SendOutcome.NotRun, SendOutcome.Cancelled -> Unit
         }
     }
@@ -87,19 +102,14 @@
         }
     }
 
-    private fun accuse(
-        world: GatewayWorld,
-        tick: GatewayTick,
-        event: SendEnded,
-        reason: BreakReason,
-    ) {
+    private fun accuse(world: GatewayWorld, tick: GatewayTick, event: SendEnded) {
         val send = world.sends[event.send] ?: return
         val call = world.calls[send.call] ?: return
         val place = send.place as? SendPlace.AtServer ?: return
         val backend = world.backends[place.server] ?: return
         val isLeaving = backend.record.isDraining || backend.missingSinceMs != null
         val parts = call.spec.prompt?.sharedParts.orEmpty()
-        if (parts.isEmpty() || isLeaving || !wasLostBeforeFirstEvent(send, event, reason)) return
+        if (parts.isEmpty() || isLeaving) return
         val id = crashOf(backend)
         val isConfirmed = world.suspectParts.any { it.crashes[id]?.isConfirmed == true }
         for (part in parts) {
@@ -111,10 +121,6 @@
         if (!isConfirmed) checkServer(world, tick, backend)
     }
 
-    /** Whether the connection of [send] broke after the head of its answer and before an event. */
-    private fun wasLostBeforeFirstEvent(send: Send, event: SendEnded, reason: BreakReason) =
-        reason in LOST_CONNECTION && event.headMs != null && event.events == 0 && !send.isStarted
-
     private fun checkServer(world: GatewayWorld, tick: GatewayTick, backend: Backend) {
         val checkedMs = lastCheckMs[backend.id]
         if (checkedMs != null && tick.nowMs - checkedMs < CHECK_INTERVAL_MS) return
@@ -253,10 +259,10 @@
         "probeInMs" to policy.probeAtMs(part) - nowMs,
     )
 
-    /** Ends the calls with [part] that wait for their first event: each would crash its server. */
+    /** Ends the calls with [part] that no server answers yet: each would crash its server. */
     private fun stopCalls(world: GatewayWorld, tick: GatewayTick, part: SuspectPart) {
         val waiting = world.calls.filter { call ->
-            !call.isStreamStarted && quarantinedParts(world, call).any { it.id == part.id }
+            !isBeingAnswered(world, call) && quarantinedParts(world, call).any { it.id == part.id }
         }
         for (call in waiting) {
             world.heldCalls.remove(call.id)
@@ -264,6 +270,9 @@
         }
     }
 
+    private fun isBeingAnswered(world: GatewayWorld, call: Call): Boolean =
+        call.currentSend?.let { world.sends[it] }?.isStarted == true
+
     /** Sends held calls again whose parts were answered meanwhile, or that have waited enough. */
     private fun sendHeldCalls(world: GatewayWorld, tick: GatewayTick) {
         if (world.heldCalls.isEmpty()) return
@@ -284,7 +293,6 @@
 
     private companion object {
         val SUCCESS = 200..299
-        val LOST_CONNECTION = setOf(BreakReason.CONNECTION_LOST, BreakReason.TRUNCATED)
         const val MAX_PROBES = 30
     }
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -110,8 +110,7 @@
         when (val outcome = event.outcome) {
             is SendOutcome.Answered -> onAnswered(world, tick, call, send, outcome.status)
             is SendOutcome.NotRun -> onNotRun(world, tick, call, send, outcome)
-            is SendOutcome.Broken -> onBroken(world, tick, call, send, outcome.reason)
-            SendOutcome.Cancelled -> onBroken(world, tick, call, send, null)
+            is SendOutcome.Broken, SendOutcome.Cancelled -> onBroken(world, tick, call, send, event)
         }
     }
 
@@ -182,7 +181,7 @@
         tick: GatewayTick,
         call: Call,
         send: Send,
-        reason: BreakReason?,
+        event: SendEnded,
     ) {
         call.arrivals++
         call.runs++
@@ -193,7 +192,7 @@
         }
         tick.journal.count(Counter.RETRIES, if (call.isStreamStarted) "resume" else "broken")
         when {
-            !mayCrashServers(world, call, reason) -> placer.place(world, tick, call)
+            !mayCrashServers(world, call, send, event) -> placer.place(world, tick, call)
             // The process that received the call from its caller holds it.
             call.spec.origin is CallOrigin.Peer ->
                 placer.fail(world, tick, call, CallRefusal.SERVER_CRASHED)
@@ -209,10 +208,16 @@
      * Whether [call] may be the reason for the crash of the server that it was lost with, so that
      * the next server may crash as well.
      */
-    private fun mayCrashServers(world: GatewayWorld, call: Call, reason: BreakReason?): Boolean {
-        if (call.isStreamStarted) return false
-        val hasCrashedAtPeer = reason == BreakReason.CRASHED_AT_PEER && !isProven(world, call)
-        return hasCrashedAtPeer || isSuspect(world, call)
+    private fun mayCrashServers(
+        world: GatewayWorld,
+        call: Call,
+        send: Send,
+        event: SendEnded,
+    ): Boolean {
+        // A peer cannot report the crash of a server whose answer it has begun to pass on.
+        val mayHaveCrashedAtPeer = send.place is SendPlace.AtPeer &&
+            (event.outcome == CRASHED_AT_PEER || wasLostAtBeginning(event))
+        return mayHaveCrashedAtPeer && !isProven(world, call) || isSuspect(world, call)
     }
 
     /** Starts a replacement for a repeatable call whose server has been silent for too long. */
@@ -329,6 +334,8 @@
             "remainingMs" to call.remainingMs(tick.nowMs),
             "arrivals" to call.arrivals,
             "headMs" to ended?.headMs,
+            "hasBegun" to ended?.hasBegun,
+            "contentAgeMs" to ended?.contentAgeMs,
             "firstEventMs" to send.firstEventMs,
             "events" to ended?.events,
             "longestGapMs" to ended?.longestGapMs,
@@ -338,6 +345,7 @@
     }
 
     private companion object {
+        val CRASHED_AT_PEER = SendOutcome.Broken(BreakReason.CRASHED_AT_PEER)
         const val SERVER_ERROR = 500
         val SUCCESS = 200..299
 
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -427,6 +427,7 @@
         connectionsBySend.remove(send.id)
         if (connection != null) pool.release(connection)
         val longestGapMs = send.longestGapNanos / NANOS_PER_MS
+        val nowNanos = System.nanoTime()
         val ended = SendEnded(
             send = send.id,
             outcome = outcome,
@@ -434,6 +435,8 @@
             events = send.forwardedEvents,
             longestGapMs = longestGapMs,
             headMs = send.headMs,
+            hasBegun = send.hasBegun,
+            contentAgeMs = send.contentNanos?.let { (nowNanos - it) / NANOS_PER_MS },
         )
         events.post(ended)
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.socket.ChannelInputShutdownEvent
+import io.netty.handler.codec.PrematureChannelClosureException
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -46,9 +47,15 @@
     /** Time at which the request was written. */
     var requestNanos = 0L
 
+    /** Whether a byte of the response has arrived, be it within its head. */
+    var hasBegun = false
+
     /** Time from the request to the head of its response, or null before the head. */
     var headMs: Long? = null
 
+    /** Time of the first event or body byte, or null before it. */
+    var contentNanos: Long? = null
+
     /** Time of the request, of the last response progress, or of the last resume after a pause. */
     var lastProgressNanos = System.nanoTime()
     var hasForwardedEvent = false
@@ -67,6 +74,10 @@
     fun idleMs(nowNanos: Long): Long =
         if (isPaused) 0 else (nowNanos - lastProgressNanos) / NANOS_PER_MS
 
+    fun recordContent() {
+        if (contentNanos == null) contentNanos = System.nanoTime()
+    }
+
     /** The part of [heldBytes] that [GatewayTraffic] has added to its total. */
     var accountedBytes = 0
 
@@ -182,6 +193,7 @@
             close()
             return false
         }
+        if (!isSkippingForeign) send?.hasBegun = true
         bytesSinceProgress += bytes
         if (bytesSinceProgress <= MAX_BYTES_WITHOUT_PROGRESS) return true
         abort()
@@ -241,16 +253,22 @@
     private fun onResponseHead(active: ActiveSend, message: HttpResponse) {
         if (message.decoderResult().isFailure) {
             isReusable = false
-            return finish(SendOutcome.Broken(BreakReason.NOT_HTTP))
+            val isCut = message.decoderResult().cause() is PrematureChannelClosureException
+            val reason = if (isCut) BreakReason.CONNECTION_LOST else BreakReason.NOT_HTTP
+            return finish(SendOutcome.Broken(reason))
         }
         if (message.status() == HttpResponseStatus.SWITCHING_PROTOCOLS) return abort()
-        if (message.status().code() < FIRST_FINAL_STATUS) return
+        if (message.status().code() < FIRST_FINAL_STATUS) {
+            active.hasBegun = false
+            return
+        }
         val responseHead = listener.readHead(message)
         val isForeign = responseHead.requestId != null &&
             responseHead.requestId != active.exchange.spec.requestId.value
         response = message
         head = responseHead
         isSkippingForeign = isForeign
+        active.hasBegun = !isForeign
         if (isForeign) {
             isReusable = false
         } else {
@@ -326,6 +344,7 @@
             forwardEvents(active, responseHead, bytes)
         } else {
             if (responseHead.isSuccess && bytes.isReadable) recordProgress(active)
+            if (bytes.isReadable) active.recordContent()
             bytes.readBytes(active.body, bytes.readableBytes())
             true
         }
@@ -386,6 +405,7 @@
         if (!exchange.forward(event, responseHead, headers)) return false
         if (!active.hasForwardedEvent) {
             active.hasForwardedEvent = true
+            active.recordContent()
             listener.onResponseStarted(active, responseHead.load)
         }
         // Events without an id and events that the caller already has are not progress: a server
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/DeadlyPartTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/DeadlyPartTest.kt
@@ -2,6 +2,8 @@
 
 import kotlin.random.Random
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
 import org.pomeloladder.configuration.RegionId
 import org.pomeloladder.decisions.RequestId
 import strikt.api.expectThat
@@ -71,8 +73,12 @@
     }
 
     // Guards against requests of one kind that crash one engine after the other (BUDGET).
-    @Test
-    fun `a part that crashes engines reaches at most three more once all processes can know`() {
+    @ParameterizedTest
+    @EnumSource(CrashPoint::class)
+    fun `a part that crashes engines reaches at most three more once all processes can know`(
+        crashPoint: CrashPoint,
+    ) {
+        fleet.crashPoint = crashPoint
         start()
         play(25_000, deadlyOneIn = 20)
 
@@ -85,8 +91,12 @@
 
     // Guards against sound requests that fail with the engines that a deadly part crashes, or that
     // are refused because they share other parts with it (LOST).
-    @Test
-    fun `sound calls with the same first part are served while deadly ones still come`() {
+    @ParameterizedTest
+    @EnumSource(CrashPoint::class)
+    fun `sound calls with the same first part are served while deadly ones still come`(
+        crashPoint: CrashPoint,
+    ) {
+        fleet.crashPoint = crashPoint
         start()
         play(25_000, deadlyOneIn = 20)
 
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/QuarantineSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/QuarantineSystemTest.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Test
 import org.pomeloladder.configuration.BackendServerId
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
@@ -48,9 +49,21 @@
         HealthChecked(BackendServerId(server), false, null, null, isRefused = true)
 
     /** Sends a call with [prompt] whose server crashes as it begins to answer. */
-    private fun crashWith(prompt: Prompt): List<GatewayCommand> {
+    private fun crashWith(
+        prompt: Prompt,
+        afterMs: Long = CRASH_INTERVAL_MS,
+        end: (StartSend) -> SendEnded = { lost(it) },
+    ): List<GatewayCommand> {
+        gateway.tick(afterMs = afterMs)
         val send = send(prompt)
-        return gateway.tick(lost(send)) + gateway.tick(refused(send.server))
+        return gateway.tick(end(send)) + gateway.tick(refused(send.server))
+    }
+
+    /** Reports a send that was lost [contentAgeMs] after its first event. */
+    private fun lostAfterEvent(send: StartSend, contentAgeMs: Long): SendEnded {
+        gateway.tick(AnswerStarted(send.send, null))
+        gateway.tick(afterMs = contentAgeMs)
+        return lost(send).copy(events = 1, contentAgeMs = contentAgeMs)
     }
 
     /** Sends a call with [prompt] that is answered. */
@@ -133,6 +146,65 @@
         expectThat(isQuarantined(SOUND)).isFalse()
     }
 
+    // Guards against a part that crashes engine after engine because the crash cuts the head.
+    @Test
+    fun `a crash within the head of an answer accuses its parts`() {
+        repeat(2) { crashWith(prompt(DEADLY)) { lost(it, headMs = null).copy(hasBegun = true) } }
+
+        expectThat(isQuarantined(DEADLY)).isTrue()
+    }
+
+    // Guards against a part that crashes engine after engine because an event comes first, which
+    // was taken for the proof that the part is sound.
+    @Test
+    fun `a crash right after the first event accuses its parts`() {
+        repeat(2) { crashWith(prompt(DEADLY)) { lostAfterEvent(it, contentAgeMs = 5) } }
+
+        expectThat(isQuarantined(DEADLY)).isTrue()
+    }
+
+    // Guards against sound parts that are refused because engines crash for another reason.
+    @Test
+    fun `a crash amid an answer accuses nothing`() {
+        repeat(6) { crashWith(prompt(SOUND)) { lostAfterEvent(it, contentAgeMs = 400) } }
+
+        expectThat(gateway.world.suspectParts.size).isEqualTo(0)
+    }
+
+    // Guards against refusing sound parts when a failure domain takes answers on them along.
+    @Test
+    fun `servers that crash at the same moment count once`() {
+        repeat(6) { crashWith(prompt(SOUND), afterMs = 10) }
+        val afterMoment = isQuarantined(SOUND)
+        crashWith(prompt(SOUND))
+
+        expectThat(afterMoment).isFalse()
+        expectThat(isQuarantined(SOUND)).isTrue()
+    }
+
+    // Guards against a stream that crashes the next engine when it is resumed.
+    @Test
+    fun `a stream that was lost right after its first event waits before it is resumed`() {
+        val send = send(prompt(DEADLY))
+        val atOnce = gateway.tick(lostAfterEvent(send, contentAgeMs = 5), refused(send.server))
+        val meanwhile = gateway.tick(afterMs = 500)
+        val later = gateway.tick(afterMs = 600)
+
+        expectThat((atOnce + meanwhile).all<StartSend>()).isEmpty()
+        expectThat(later.only<StartSend>().server).isNotEqualTo(send.server)
+    }
+
+    @Test
+    fun `a stream that waits to be resumed ends when its part is quarantined`() {
+        val send = send(prompt(DEADLY))
+        gateway.tick(lostAfterEvent(send, contentAgeMs = 5), refused(send.server))
+        val commands = crashWith(prompt(DEADLY))
+
+        expectThat(commands.all<RefuseCall>().map { it.reason })
+            .contains(CallRefusal.STREAM_BROKEN)
+        expectThat(gateway.tick(afterMs = 1_500).all<StartSend>()).isEmpty()
+    }
+
     @Test
     fun `a call that waited at a crashed server accuses nothing and is sent again at once`() {
         repeat(3) {
@@ -295,7 +367,10 @@
         val probe = send(prompt(DEADLY))
         val beside = gateway.call(brief, prompt(DEADLY)).second
         gateway.tick(AnswerStarted(probe.send, null))
+        val atFirstEvent = isQuarantined(DEADLY)
+        gateway.tick(afterMs = BEGINNING_MS + 1)
 
+        expectThat(atFirstEvent).isTrue()
         expectThat(beside.only<RefuseCall>().reason).isEqualTo(CallRefusal.QUARANTINED)
         expectThat(isQuarantined(DEADLY)).isFalse()
         expectThat(gateway.call(brief, prompt(DEADLY)).second.all<StartSend>()).hasSize(1)
@@ -337,6 +412,9 @@
         val FIRST = PartId(1)
         val DEADLY = PartId(0xdead)
         val OTHER_DEADLY = PartId(0xdeae)
+
+        /** Crashes that are closer to each other count as one. */
+        const val CRASH_INTERVAL_MS = 300L
         val SOUND = PartId(0x50)
     }
 }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
@@ -16,18 +16,21 @@
 private const val REMOTE_DELAY_MS = 80L
 private const val PROMPT_TOKENS_PER_MS = 50.0
 
-/** Time between the head of an answer and the crash of an engine on a deadly part. */
+/** Time between the beginning of an answer and the crash of an engine on a deadly part. */
 private const val CRASH_DELAY_MS = 60L
 
+/** What an engine has sent of an answer when the prompt crashes it. */
+enum class CrashPoint { WITHIN_HEAD, AFTER_HEAD, AFTER_FIRST_EVENT }
+
 /** Time that a crashed engine needs to start again. */
 private const val RESTART_MS = 3_000L
 
 /** A send of one process. */
 internal data class TestSend(val vm: VmId, val send: SendId)
 
-/** A send that waits or runs at an engine. [headAtMs] is null before the head of its answer. */
+/** A send that waits or runs at an engine. [beganAtMs] is null before the head of its answer. */
 internal class TestRun(val key: TestSend, val startedMs: Long) {
-    var headAtMs: Long? = null
+    var beganAtMs: Long? = null
 }
 
 /** A model engine that processes one prompt at a time and caches every part. */
@@ -102,6 +105,7 @@
 
     /** A part that crashes each engine that begins to answer a prompt with it. */
     var deadlyPart: PartId? = null
+    var crashPoint = CrashPoint.AFTER_HEAD
 
     /** Times at which engines crashed, and at which prompts with [deadlyPart] reached engines. */
     val crashesMs = ArrayList<Long>()
@@ -266,8 +270,9 @@
         val readMs = engine.read(prompt, nowMs)
         schedule(readMs) {
             if (engine.runs[key] !== run) return@schedule
-            run.headAtMs = nowMs
+            run.beganAtMs = nowMs
             if (isDeadly) {
+                if (crashPoint == CrashPoint.AFTER_FIRST_EVENT) reportAnswerStarted(vm, start)
                 schedule(nowMs + CRASH_DELAY_MS) { if (engine.runs[key] === run) crash(engine) }
                 return@schedule
             }
@@ -283,21 +288,27 @@
         crashesMs += nowMs
         val lost = engine.runs.values.toList()
         engine.crash(nowMs)
-        for (run in lost) {
-            val ended = SendEnded(
-                send = run.key.send,
-                outcome = SendOutcome.Broken(BreakReason.CONNECTION_LOST),
-                load = null,
-                headMs = run.headAtMs?.let { it - run.startedMs },
-            )
-            byVm.getValue(run.key.vm).inbox += ended
-        }
+        for (run in lost) byVm.getValue(run.key.vm).inbox += lostSend(run)
         schedule(engine.upAtMs) {
             engine.starts++
             publishView()
         }
     }
 
+    private fun lostSend(run: TestRun): SendEnded {
+        val hasHead = crashPoint != CrashPoint.WITHIN_HEAD
+        val hasEvent = crashPoint == CrashPoint.AFTER_FIRST_EVENT
+        return SendEnded(
+            send = run.key.send,
+            outcome = SendOutcome.Broken(BreakReason.CONNECTION_LOST),
+            load = null,
+            events = if (hasEvent && run.beganAtMs != null) 1 else 0,
+            headMs = run.beganAtMs?.takeIf { hasHead }?.let { it - run.startedMs },
+            hasBegun = run.beganAtMs != null,
+            contentAgeMs = run.beganAtMs?.takeIf { hasEvent }?.let { nowMs - it },
+        )
+    }
+
     private fun reportAnswerStarted(vm: Vm, start: StartSend) {
         vm.inbox += AnswerStarted(start.send, null)
         val call = vm.gateway.world.calls[start.call] ?: return
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
@@ -122,6 +122,36 @@
         expectThat(withoutHead.headMs).isNull()
     }
 
+    /** Returns the end of a stream whose server crashes after it has written [text]. */
+    private fun lostAfter(text: String, hasEvent: Boolean = false): SendEnded {
+        val caller = traffic.caller()
+        traffic.send(traffic.request(caller, "r1"), server, isStream = true)
+        val connection = server.accept()
+        connection.readHead()
+        connection.write(text)
+        if (hasEvent) traffic.await<AnswerStarted>() else Thread.sleep(DELIVERY_DELAY_MS)
+        connection.reset()
+        return traffic.await<SendEnded>()
+    }
+
+    // Guards against a crash that accuses no prompt because it cuts the head or an event, and
+    // against one that accuses a prompt by the bytes of another response.
+    @Test
+    fun `a lost send tells whether its answer had begun and how long it had lasted`() {
+        val cutHead = lostAfter(streamHead("r1").take(20))
+        val cutEvent = lostAfter(streamHead("r1") + chunk("id: 1\nda"))
+        val firstEvent = lostAfter(streamHead("r1") + chunk("id: 1\ndata: a\n\n"), hasEvent = true)
+        val foreign = lostAfter(answer("r0", "foreign"))
+        val informational = lostAfter("HTTP/1.1 103 Early Hints\r\n\r\n")
+
+        val lost = SendOutcome.Broken(BreakReason.CONNECTION_LOST)
+        val ends = listOf(cutHead, cutEvent, firstEvent, foreign, informational)
+        expectThat(ends.map { it.outcome }.toSet()).isEqualTo(setOf(lost))
+        expectThat(ends.map { it.hasBegun }).isEqualTo(listOf(true, true, true, false, false))
+        expectThat(ends.map { it.contentAgeMs != null })
+            .isEqualTo(listOf(false, false, true, false, false))
+    }
+
     @Test
     fun `a connection with bytes after a complete response is not reused`() {
         val caller = traffic.caller()
