Take no refusal without an id on a kept connection as proof

What can happen: an engine writes an earlier refusal once more on a kept connection. With the id of its request it was skipped. Without an id it was taken for the answer to the current request: the caller was told "not run", or the request was sent to a second engine (REFUSED, TWICE).

Cause: only a differing id marked a response as another request's; a missing one was accepted.

Fix: on a connection that has carried a request before, a server's response without an id proves nothing. On a new connection there is no earlier request, so it still counts.

Evidence: GatewayTrafficTest, "a refusal without an id proves nothing on a kept connection" failed before. "a repeated refusal of an earlier request does not refuse the current one" passed before as well.

--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -121,6 +121,9 @@
     RawByteFilter {
     private lateinit var channel: Channel
     private var send: ActiveSend? = null
+
+    /** Whether the connection has carried a request before the current one. */
+    private var isKept = false
     private var response: HttpResponse? = null
     private var head: ResponseHead? = null
     private var isSkippingForeign = false
@@ -457,6 +460,9 @@
             SendOutcome.NotRun(NotRunReason.PEER_REFUSED, hasArrived = false)
         active.target is SendTarget.Peer && Relay.isCrashed(headers) ->
             SendOutcome.Broken(BreakReason.CRASHED_AT_PEER)
+        // It may be a repeated response to an earlier request.
+        active.target is SendTarget.Server && isKept && responseHead.requestId == null ->
+            SendOutcome.Broken(BreakReason.UNSIGNED)
         responseHead.isWrongInstance -> SendOutcome.NotRun(NotRunReason.WRONG_INSTANCE)
         responseHead.isMarkedNotRun && responseHead.statusImpliesNotRun ->
             SendOutcome.NotRun(NotRunReason.FULL)
@@ -491,6 +497,7 @@
     private fun detachSend(): ActiveSend? {
         val active = send ?: return null
         send = null
+        isKept = true
         response = null
         head = null
         earlyOutcome = null
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
@@ -22,6 +22,7 @@
 import org.pomeloladder.gateway.EntryView
 import org.pomeloladder.gateway.FetchView
 import org.pomeloladder.gateway.HealthChecked
+import org.pomeloladder.gateway.NotRunReason
 import org.pomeloladder.gateway.NotWrittenReason
 import org.pomeloladder.gateway.PublishEntryView
 import org.pomeloladder.gateway.RefuseCall
@@ -183,6 +184,51 @@
         expectThat(String(caller.getInputStream().readNBytes(3))).isEqualTo("own")
     }
 
+    /** Returns the outcome of a request on a kept connection on which [text] arrives. */
+    private fun outcomeOnKeptConnection(text: String): SendOutcome {
+        val caller = traffic.caller()
+        traffic.send(traffic.request(caller, "r1"), server)
+        val connection = server.accept()
+        connection.readHead()
+        connection.write(refusal("id: r1\r\n"))
+        expectThat(traffic.await<SendEnded>().outcome).isEqualTo(FULL)
+        traffic.send(traffic.request(traffic.caller(), "r2"), server)
+        connection.readHead()
+        connection.write(text)
+        return traffic.await<SendEnded>().outcome
+    }
+
+    private fun refusal(fields: String) =
+        "HTTP/1.1 503 Busy\r\n${fields}not-run: 1\r\nkeep-alive: timeout=5\r\n" +
+            "content-length: 0\r\n\r\n"
+
+    // Guards against telling a caller that its request did not run because the server repeated its
+    // refusal of an earlier one (REFUSED, TWICE).
+    @Test
+    fun `a repeated refusal of an earlier request does not refuse the current one`() {
+        val outcome = outcomeOnKeptConnection(refusal("id: r1\r\n") + answer("r2", "own"))
+
+        expectThat(outcome).isEqualTo(SendOutcome.Answered(200))
+    }
+
+    // Guards against the same where the refusal does not name its request.
+    @Test
+    fun `a refusal without an id proves nothing on a kept connection`() {
+        val outcome = outcomeOnKeptConnection(refusal(""))
+
+        expectThat(outcome).isEqualTo(SendOutcome.Broken(BreakReason.UNSIGNED))
+    }
+
+    @Test
+    fun `a refusal without an id on a new connection refuses its only request`() {
+        traffic.send(traffic.request(traffic.caller(), "r1"), server)
+        val connection = server.accept()
+        connection.readHead()
+        connection.write(refusal(""))
+
+        expectThat(traffic.await<SendEnded>().outcome).isEqualTo(FULL)
+    }
+
     @Test
     fun `a response without a length is complete at an orderly close and broken at a reset`() {
         val head = "HTTP/1.1 200 OK\r\nid: r1\r\nsigned: 1\r\n\r\n"
@@ -562,5 +608,6 @@
 
         /** Time for bytes to arrive before a reset, which discards unread bytes. */
         const val DELIVERY_DELAY_MS = 200L
+        val FULL = SendOutcome.NotRun(NotRunReason.FULL)
     }
 }
