Drop text without event ids from the answer to a resumption

What can happen: a stream breaks off, and the next engine answers its resumption with status 200 and the text of an error. Text that ends with a blank line was forwarded as an event, in the middle of the caller's stream, and the stream then ended as complete (ORDER, MIXED).

Cause: an event without an id was forwarded in any case.

Fix: until the resumed run has sent an event with an id, others are dropped, and an answer with nothing else does not complete the stream.

Can't happen: error statuses. Nothing of such an answer is forwarded once a stream has begun, and it does not end the stream; the test shows both for 500 and 503.

--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -60,6 +60,9 @@
     var lastProgressNanos = System.nanoTime()
     var hasForwardedEvent = false
 
+    /** Whether text without an event id was dropped from the response to a resumption. */
+    var hasSkippedText = false
+
     /** Whether reading from the server is paused because the caller reads too slowly. */
     var isPaused = false
 
@@ -405,6 +408,13 @@
         val headers = checkNotNull(response).headers()
         val exchange = active.exchange
         val previousEventId = exchange.lastEventId
+        val isContinuation =
+            exchange.isStreamStarted && !active.hasForwardedEvent && previousEventId != null
+        if (isContinuation && event.id == null) {
+            // The text of an error, not an event of a stream whose events have ids.
+            active.hasSkippedText = true
+            return true
+        }
         if (!exchange.forward(event, responseHead, headers)) return false
         if (!active.hasForwardedEvent) {
             active.hasForwardedEvent = true
@@ -481,6 +491,7 @@
 
     /** Whether a response without events means that the caller already has the last event. */
     private fun isAlreadyComplete(active: ActiveSend) = active.exchange.lastEventId != null &&
+        !active.hasSkippedText &&
         !active.splitter.hasPartialEvent &&
         !isUnframed()
 
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
@@ -297,6 +297,43 @@
         traffic.await<SendEnded>()
     }
 
+    /**
+     * Breaks a stream after event 1, lets the server answer its resumption with [text] and ends the
+     * call. Returns the outcome of the resumption, and what the caller has received.
+     */
+    private fun resumeWith(text: String): Pair<SendOutcome, String> {
+        val caller = traffic.caller()
+        val call = traffic.request(caller, "r1")
+        streamWithoutEnd(call)
+        traffic.send(call, server, isStream = true)
+        val connection = server.accept()
+        connection.readHead()
+        connection.write(text)
+        val outcome = traffic.await<SendEnded>().outcome
+        traffic.execute(RefuseCall(call, CallRefusal.STREAM_BROKEN, null))
+        return outcome to String(caller.getInputStream().readAllBytes())
+    }
+
+    // Guards against an error of the next server in the middle of a caller's stream, and against a
+    // stream that such an error ends as complete (ORDER, MIXED).
+    @Test
+    fun `nothing of an error that answers a resumption reaches the caller`() {
+        val fields = "\r\nid: r1\r\nsigned: 1\r\nconnection: close\r\n"
+        val event = "id: 2\ndata: error\n\n"
+        val chunked = "HTTP/1.1 500 Error${fields}transfer-encoding: chunked\r\n\r\n"
+        val (error, afterError) = resumeWith(chunked + chunk(event) + "0\r\n\r\n")
+        val framed = "HTTP/1.1 503 Busy${fields}content-length: ${event.length}\r\n\r\n"
+        val (busy, afterBusy) = resumeWith(framed + event)
+        val (text, afterText) = resumeWith(streamHead("r1") + chunk("error\n\n") + "0\r\n\r\n")
+
+        expectThat(error).isEqualTo(SendOutcome.Answered(500))
+        expectThat(busy).isEqualTo(SendOutcome.Broken(BreakReason.UNSIGNED))
+        expectThat(text).isEqualTo(SendOutcome.Broken(BreakReason.TRUNCATED))
+        for (received in listOf(afterError, afterBusy, afterText)) {
+            expectThat(received).endsWith("\r\n\r\n" + chunk("id: 1\ndata: a\n\n"))
+        }
+    }
+
     // Guards against aborting a stream although its caller has received all events.
     @Test
     fun `a stream that lost only its end is complete after an empty resumed response`() {
