Name only a region's own VMs for a host whose homes are not known

What can happen: a process without a view, or whose view does not have the host yet, answers a directory question of a region in which it knows no VM. It named the VMs of all regions, also those that are no home of the host's routes (HOME).

Cause: a host without routes counted as one without homes.

Fix: without a route only the VMs of the caller's region are named.

Evidence: EntryViewTest, "a caller of an unknown host is directed to the entry VMs of its own region only" failed before.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/EntryView.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/EntryView.kt
@@ -20,12 +20,13 @@
     /**
      * Returns the entry VMs for a caller of [host] in [region]: those of its region or, if it has
      * none, those of regions that may serve all routes of the host, so that no request body is sent
-     * to a region that must not receive it.
+     * to a region that must not receive it. Without a route, the homes of the host are not known.
      */
     fun entriesFor(host: String, region: RegionId?): List<EntryPoint> {
         val local = entries.filter { it.region == region }
         if (local.isNotEmpty()) return local
         val routes = publishedView?.catalog?.routesForHost(host).orEmpty()
+        if (routes.isEmpty()) return emptyList()
         return entries.filter { entry -> routes.all { it.allowsRegion(entry.region) } }
     }
 }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/EntryViewTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/EntryViewTest.kt
@@ -35,6 +35,18 @@
         expectThat(view.entriesFor("homed", SOUTH).map { it.vm.value }).isEqualTo(listOf("s"))
     }
 
+    // Guards against sending bodies to a region that is not a home because the directory does not
+    // know the homes: the process has no view yet, or one without the host (HOME).
+    @Test
+    fun `a caller of an unknown host is directed to the entry VMs of its own region only`() {
+        val view = view(entry("s", SOUTH))
+        val withoutView = EntryView(entries = view.entries)
+
+        expectThat(withoutView.entriesFor("homed", NORTH)).isEmpty()
+        expectThat(view.entriesFor("unknown", NORTH)).isEmpty()
+        expectThat(view.entriesFor("unknown", SOUTH).map { it.vm.value }).isEqualTo(listOf("s"))
+    }
+
     @Test
     fun `callers from a region without entry VMs are sent to regions allowed for the host`() {
         val view = view(entry("s", SOUTH))
