Replace a VM at once when another one has got its address

What can happen: a VM ends and its address is given to a VM of another region. For up to two seconds the directory named the address as one of the old region, and calls were relayed to it as if it were there (HOME).

Cause: peers were told apart by their names only, and a silent one is removed after two seconds.

Fix: a datagram of a VM removes those with the same address and an earlier start.

Evidence: PeerSystemTest, "a VM that has got the address of another one replaces it at once" failed before.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
@@ -176,6 +176,7 @@
             peer.revision = 0
             world.process.membershipVersion++
         }
+        removeReplaced(world, from)
         if (message.sentMs <= peer.latestSentMs) return
         peer.lastHeardMs = tick.nowMs
         peer.latestSentMs = message.sentMs
@@ -195,6 +196,16 @@
         message.others.forEach { links.addAddress(it, tick.nowMs) }
     }
 
+    /** Removes the VMs that had the address of [vm] before it, maybe in another region. */
+    private fun removeReplaced(world: GatewayWorld, vm: PeerIdentity) {
+        fun isReplaced(peer: Peer) = peer.vm != vm.vm &&
+            peer.identity.gossip == vm.gossip &&
+            peer.incarnation < vm.incarnation
+        if (world.peers.none(::isReplaced)) return
+        world.peers.removeIf(::isReplaced)
+        world.process.membershipVersion++
+    }
+
     private fun recordEcho(peer: Peer, roundTripMs: Long, tick: GatewayTick) {
         peer.lastEchoMs = tick.nowMs
         val sample = roundTripMs.coerceAtLeast(0).toDouble()
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/PeerSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/PeerSystemTest.kt
@@ -47,6 +47,21 @@
         expectThat(peer.isLive).isTrue()
     }
 
+    // Guards against a directory that names the address of a VM that is gone after a VM of another
+    // region has got it, and against relays to that address (HOME).
+    @Test
+    fun `a VM that has got the address of another one replaces it at once`() {
+        val old = identity("old", NORTH, incarnation = 1)
+        val new = identity("new", SOUTH, incarnation = 2)
+            .copy(callers = old.callers, gossip = old.gossip, relay = old.relay)
+        gateway.publish(1, catalog(route("lookup")))
+        gateway.receiveGossip(old)
+        gateway.receiveGossip(new)
+        val entries = gateway.world.process.entryView?.entries.orEmpty().map { it.vm.value }
+
+        expectThat(entries).containsExactlyInAnyOrder("new", "self")
+    }
+
     // Guards against a process that overloads a server because it ignores the load of others.
     @Test
     fun `the load that peers put on a server is included in placement`() {
