Bind repeats of a call to homes that were added meanwhile

What can happen: a change of configuration gives a route homes while a call waits, is held, or is resumed or replaced. The call was placed by the route of its arrival, so its next send could reach an engine or a VM of a region that is no home (HOME).

Cause: the homes were read once, when the call arrived.

Fix: each placement reads the route again; the homes of both versions bind. A relayed call is checked by the peer's catalog at its arrival, and now at each of its placements.

Evidence: CallSystemTest, "homes that a new catalog adds bind the repeats of a running call" failed before.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -43,7 +43,7 @@
             val reason = CallRefusal.QUARANTINED
             return fail(world, tick, call, reason, maxOf(retryAfterMs, MIN_RETRY_AFTER_MS))
         }
-        when (val choice = placement.choose(world, call, tick.nowMs, tick.random)) {
+        when (val choice = choose(world, tick, call)) {
             is Placement.Unavailable -> when {
                 call.isStreamStarted && !call.isRetryingAvoided -> retryAvoided(world, tick, call)
                 else -> fail(world, tick, call, choice.reason, choice.retryAfterMs)
@@ -63,6 +63,12 @@
         }
     }
 
+    private fun choose(world: GatewayWorld, tick: GatewayTick, call: Call): Placement {
+        // The catalog may have given the route homes while the call waited or ran.
+        world.catalog?.findRoute(call.spec.host, call.spec.path)?.let { call.latestRoute = it }
+        return placement.choose(world, call, tick.nowMs, tick.random)
+    }
+
     /**
      * Lets [call] test its quarantined parts if a test is due. One process of the fleet does it, with
      * a call that has not been sent yet, at a server of its own region: the other processes refuse
@@ -120,7 +126,7 @@
         val remainingMs = call.remainingMs(tick.nowMs)
         if (remainingMs < MIN_SEND_MS || call.runs + 1 >= call.maxRuns) return
         call.avoidedServers += server.id
-        val choice = placement.choose(world, call, tick.nowMs, tick.random)
+        val choice = choose(world, tick, call)
         call.avoidedServers -= server.id
         val waitMs = when (choice) {
             is Placement.Unavailable -> return
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -5,6 +5,7 @@
 package org.pomeloladder.gateway
 
 import org.pomeloladder.configuration.BackendServerId
+import org.pomeloladder.configuration.RegionId
 import org.pomeloladder.configuration.ServiceId
 import org.pomeloladder.configuration.VmId
 import org.pomeloladder.decisions.Incarnation
@@ -132,6 +133,8 @@
     val service: ServiceId,
     val arrivedMs: Long,
 ) {
+    /** The call's route in the catalog at its last placement. Its homes bind beside [route]'s. */
+    var latestRoute = route
     var timeoutAtMs = 0L
     var deadlineAtMs = Long.MAX_VALUE
 
@@ -173,6 +176,9 @@
      */
     var heldAnswer: SendId? = null
 
+    fun allowsRegion(region: RegionId) =
+        route.allowsRegion(region) && latestRoute.allowsRegion(region)
+
     fun remainingMs(nowMs: Long) = minOf(timeoutAtMs, deadlineAtMs) - nowMs
 }
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/OtherRegions.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/OtherRegions.kt
@@ -26,7 +26,7 @@
     val region = peer.identity.region
     return region != world.self.region &&
         !call.isProbe &&
-        call.route.allowsRegion(region) &&
+        call.allowsRegion(region) &&
         peer.isLive &&
         peer.isReady &&
         !peer.isDraining &&
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PartOwners.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PartOwners.kt
@@ -58,7 +58,7 @@
     if (!isStable(world, backend, nowMs)) return false
     val region = regionOf(world, backend) ?: return false
     return when (region) {
-        world.self.region -> call.route.allowsRegion(region) && isUsable(world, backend, nowMs)
+        world.self.region -> call.allowsRegion(region) && isUsable(world, backend, nowMs)
         else -> region in reachableRegions
     }
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -77,7 +77,7 @@
         random: Random,
         isCandidate: (GatewayWorld, Backend, Long) -> Boolean,
     ): Placement.Local? {
-        if (!call.route.allowsRegion(world.self.region)) return null
+        if (!call.allowsRegion(world.self.region)) return null
         val usable = world.backends.filter {
             it.record.service == call.service &&
                 it.id !in call.avoidedServers &&
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/CallSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/CallSystemTest.kt
@@ -94,6 +94,20 @@
         expectThat(evacuated.all<StartSend>()).isEmpty()
     }
 
+    // Guards against a repeat in a region that is no home because a change of configuration added
+    // the homes while the call was under way (HOME).
+    @Test
+    fun `homes that a new catalog adds bind the repeats of a running call`() {
+        ready(server("a"), server("b"))
+        val (_, commands) = gateway.call(lookup)
+        val homesAdded = catalog(route("lookup") { homes = setOf(SOUTH) }, version = 2)
+        gateway.publish(2, homesAdded, server("a"), server("b"))
+        val lost = SendOutcome.Broken(BreakReason.CONNECTION_LOST)
+        val after = gateway.tick(SendEnded(commands.only<StartSend>().send, lost, null))
+
+        expectThat(after.all<StartSend>()).isEmpty()
+    }
+
     @Test
     fun `a call that only another region may serve is relayed there`() {
         ready(server("a"))
