Play crashes of other causes against sound parts in the fleet test

Guards against sound parts that are refused because engines crash one by one, or all of a region at the same moment, while answers on these parts are at their beginning. The engines of the fleet now keep an answer for a while after its first event.

--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/DeadlyPartTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/DeadlyPartTest.kt
@@ -7,6 +7,8 @@
 import org.pomeloladder.configuration.RegionId
 import org.pomeloladder.decisions.RequestId
 import strikt.api.expectThat
+import strikt.assertions.doesNotContain
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isGreaterThanOrEqualTo
@@ -106,6 +108,25 @@
         expectThat(failed.toDouble() / late.size).isLessThanOrEqualTo(0.02)
     }
 
+    // Guards against sound parts that are refused because engines crash for other reasons: one by
+    // one, or all of a region at the same moment.
+    @Test
+    fun `crashes of other causes quarantine no part`() {
+        fleet.answerMs = 400
+        start()
+        repeat(20) { round ->
+            play(1_000, deadlyOneIn = Int.MAX_VALUE)
+            val region = listOf(NORTH, SOUTH, EAST)[round % 3]
+            val engines = fleet.upEngines().filter { it.region == region }
+            (if (round % 5 == 4) engines else engines.take(1)).forEach(fleet::crash)
+        }
+        play(4_000, deadlyOneIn = Int.MAX_VALUE)
+
+        expectThat(fleet.crashesMs.size).isGreaterThan(20)
+        expectThat(fleet.refusals.values).doesNotContain(CallRefusal.QUARANTINED)
+        expectThat(fleet.quarantinedParts()).isEmpty()
+    }
+
     // Guards against a part that stays refused although the engines are mended, and against a test
     // of it at every process.
     @Test
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
@@ -28,9 +28,13 @@
 /** A send of one process. */
 internal data class TestSend(val vm: VmId, val send: SendId)
 
-/** A send that waits or runs at an engine. [beganAtMs] is null before the head of its answer. */
+/**
+ * A send that waits or runs at an engine. [beganAtMs] is null before the head of its answer, and
+ * [firstEventAtMs] before its first event.
+ */
 internal class TestRun(val key: TestSend, val startedMs: Long) {
     var beganAtMs: Long? = null
+    var firstEventAtMs: Long? = null
 }
 
 /** A model engine that processes one prompt at a time and caches every part. */
@@ -107,6 +111,9 @@
     var deadlyPart: PartId? = null
     var crashPoint = CrashPoint.AFTER_HEAD
 
+    /** Time from the first event of an answer to its end. */
+    var answerMs = 1L
+
     /** Times at which engines crashed, and at which prompts with [deadlyPart] reached engines. */
     val crashesMs = ArrayList<Long>()
     val deadlyArrivalsMs = ArrayList<Long>()
@@ -145,6 +152,12 @@
         vms.forEach { it.inbox += ViewReceived(view, ViewSource.PLATFORM) }
     }
 
+    /** Returns the parts that any process has quarantined. */
+    fun quarantinedParts(): Set<PartId> =
+        vms.flatMap { it.gateway.world.suspectParts }.filter { it.isQuarantined }
+            .map { it.id }
+            .toSet()
+
     /**
      * Blocks all datagrams and relayed calls between [region] and the other regions from now on.
      */
@@ -272,19 +285,27 @@
             if (engine.runs[key] !== run) return@schedule
             run.beganAtMs = nowMs
             if (isDeadly) {
-                if (crashPoint == CrashPoint.AFTER_FIRST_EVENT) reportAnswerStarted(vm, start)
+                if (crashPoint == CrashPoint.AFTER_FIRST_EVENT) sendFirstEvent(vm, start, run)
                 schedule(nowMs + CRASH_DELAY_MS) { if (engine.runs[key] === run) crash(engine) }
                 return@schedule
             }
-            engine.runs.remove(key)
-            reportAnswerStarted(vm, start)
-            schedule(nowMs + 1) {
-                vm.inbox += SendEnded(start.send, SendOutcome.Answered(200), null)
+            sendFirstEvent(vm, start, run)
+            schedule(nowMs + answerMs) {
+                if (engine.runs.remove(key, run)) {
+                    vm.inbox += SendEnded(start.send, SendOutcome.Answered(200), null)
+                }
             }
         }
     }
 
-    private fun crash(engine: TestEngine) {
+    private fun sendFirstEvent(vm: Vm, start: StartSend, run: TestRun) {
+        run.firstEventAtMs = nowMs
+        reportAnswerStarted(vm, start)
+    }
+
+    fun upEngines() = engines.filter { it.isUp(nowMs) }
+
+    fun crash(engine: TestEngine) {
         crashesMs += nowMs
         val lost = engine.runs.values.toList()
         engine.crash(nowMs)
@@ -296,16 +317,15 @@
     }
 
     private fun lostSend(run: TestRun): SendEnded {
-        val hasHead = crashPoint != CrashPoint.WITHIN_HEAD
-        val hasEvent = crashPoint == CrashPoint.AFTER_FIRST_EVENT
+        val hasHead = crashPoint != CrashPoint.WITHIN_HEAD || run.firstEventAtMs != null
         return SendEnded(
             send = run.key.send,
             outcome = SendOutcome.Broken(BreakReason.CONNECTION_LOST),
             load = null,
-            events = if (hasEvent && run.beganAtMs != null) 1 else 0,
+            events = if (run.firstEventAtMs != null) 1 else 0,
             headMs = run.beganAtMs?.takeIf { hasHead }?.let { it - run.startedMs },
             hasBegun = run.beganAtMs != null,
-            contentAgeMs = run.beganAtMs?.takeIf { hasEvent }?.let { nowMs - it },
+            contentAgeMs = run.firstEventAtMs?.let { nowMs - it },
         )
     }
 
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/UnframedResponseTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/UnframedResponseTest.kt
@@ -35,7 +35,9 @@
         isStream: Boolean = false,
         end: Socket.() -> Unit,
     ): SendOutcome {
-        traffic.execute(PublishEntryView(EntryView(limits = CallerLimits(maxBodyBytes = LONG_BODY))))
+        traffic.execute(
+            PublishEntryView(EntryView(limits = CallerLimits(maxBodyBytes = LONG_BODY))),
+        )
         val caller = traffic.caller()
         traffic.send(traffic.request(caller, "r1", body), server, isStream)
         val outcome = server.accept().use { connection ->
