--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -176,6 +176,7 @@
      */
     var heldAnswer: SendId? = null
 
+    /** Whether the homes of the call's route allow [region], also those of its latest version. */
     fun allowsRegion(region: RegionId) =
         route.allowsRegion(region) && latestRoute.allowsRegion(region)
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/QuarantinePolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/QuarantinePolicy.kt
@@ -19,8 +19,9 @@
 /**
  * Quarantines a part after crashes of different servers without an answer in between. A crash that
  * another quarantined part explains does not count, and crashes at about the same moment count as
- * one: a failure domain that fails takes answers on many sound parts along. Parts with the same crashes are quarantined as a
- * group: calls with some of them are still sent and show which of them is sound.
+ * one: a failure domain that fails takes answers on many sound parts along. Parts with the same
+ * crashes are quarantined as a group: calls with some of them are still sent and show which of them
+ * is sound.
  */
 class RealQuarantinePolicy : QuarantinePolicy {
     override fun select(parts: Iterable<SuspectPart>, answered: AnsweredParts): List<Set<PartId>> {
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/QuarantineSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/QuarantineSystem.kt
@@ -1,10 +1,10 @@
 /*
  * Finds prompt parts that crash the server that answers them, and keeps calls with such parts away
- * from servers. A call accuses the shared parts of its prompt when its answer had just begun and its
- * server then refuses connections. It does not matter whether the head or the first event was cut.
- * Calls that only waited at the server, answers that had gone on for a while, and servers that leave
- * or fall silent accuse nothing. An answer that outlasts its beginning at any VM clears a part. VMs
- * exchange the evidence in datagrams and each decides by itself.
+ * from servers. A call accuses the shared parts of its prompt when its answer had just begun and
+ * its server then refuses connections. It does not matter whether the head or the first event was
+ * cut. Calls that only waited at the server, answers that had gone on for a while, and servers that
+ * leave or fall silent accuse nothing. An answer that outlasts its beginning at any VM clears a
+ * part. VMs exchange the evidence in datagrams and each decides by itself.
  */
 package org.pomeloladder.gateway
 
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -77,6 +77,7 @@
     fun idleMs(nowNanos: Long): Long =
         if (isPaused) 0 else (nowNanos - lastProgressNanos) / NANOS_PER_MS
 
+    /** Records the first event or body byte. */
     fun recordContent() {
         if (contentNanos == null) contentNanos = System.nanoTime()
     }
