--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/QuarantineSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/QuarantineSystemTest.kt
@@ -73,6 +73,16 @@
         gateway.tick(SendEnded(send.send, SendOutcome.Answered(200), null, events = 5, headMs = 1))
     }
 
+    /** Expects that the call of [send] goes to another server, but only a second after [ended]. */
+    private fun expectThatNextSendWaits(send: StartSend, ended: SendEnded) {
+        val atOnce = gateway.tick(ended, refused(send.server))
+        val meanwhile = gateway.tick(afterMs = 500)
+        val later = gateway.tick(afterMs = 600)
+
+        expectThat((atOnce + meanwhile).all<StartSend>()).isEmpty()
+        expectThat(later.only<StartSend>().server).isNotEqualTo(send.server)
+    }
+
     private fun isQuarantined(part: PartId) =
         gateway.world.suspectParts[part]?.isQuarantined == true
 
@@ -186,12 +196,8 @@
     @Test
     fun `a stream that was lost right after its first event waits before it is resumed`() {
         val send = send(prompt(DEADLY))
-        val atOnce = gateway.tick(lostAfterEvent(send, contentAgeMs = 5), refused(send.server))
-        val meanwhile = gateway.tick(afterMs = 500)
-        val later = gateway.tick(afterMs = 600)
 
-        expectThat((atOnce + meanwhile).all<StartSend>()).isEmpty()
-        expectThat(later.only<StartSend>().server).isNotEqualTo(send.server)
+        expectThatNextSendWaits(send, lostAfterEvent(send, contentAgeMs = 5))
     }
 
     @Test
@@ -269,12 +275,8 @@
     @Test
     fun `a call that was lost as its server crashed waits before it is sent again`() {
         val send = send(prompt(DEADLY))
-        val atOnce = gateway.tick(lost(send), refused(send.server))
-        val meanwhile = gateway.tick(afterMs = 500)
-        val later = gateway.tick(afterMs = 600)
 
-        expectThat((atOnce + meanwhile).all<StartSend>()).isEmpty()
-        expectThat(later.only<StartSend>().server).isNotEqualTo(send.server)
+        expectThatNextSendWaits(send, lost(send))
     }
 
     @Test
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
@@ -19,12 +19,12 @@
 /** Time between the beginning of an answer and the crash of an engine on a deadly part. */
 private const val CRASH_DELAY_MS = 60L
 
-/** What an engine has sent of an answer when the prompt crashes it. */
-enum class CrashPoint { WITHIN_HEAD, AFTER_HEAD, AFTER_FIRST_EVENT }
-
 /** Time that a crashed engine needs to start again. */
 private const val RESTART_MS = 3_000L
 
+/** What an engine has sent of an answer when the prompt crashes it. */
+enum class CrashPoint { WITHIN_HEAD, AFTER_HEAD, AFTER_FIRST_EVENT }
+
 /** A send of one process. */
 internal data class TestSend(val vm: VmId, val send: SendId)
 
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
@@ -642,9 +642,6 @@
 
         /** A second loopback address, since all VMs use the same ports for peers. */
         const val VIEWS_HOST = "127.0.0.2"
-
-        /** Time for bytes to arrive before a reset, which discards unread bytes. */
-        const val DELIVERY_DELAY_MS = 200L
         val FULL = SendOutcome.NotRun(NotRunReason.FULL)
     }
 }
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/TestTraffic.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/TestTraffic.kt
@@ -33,6 +33,9 @@
 /** Generous timeout for busy machines; waits return as soon as their condition holds. */
 private const val AWAIT_TIMEOUT_MS = 10_000L
 
+/** Time for bytes to arrive before a reset, which discards unread bytes. */
+internal const val DELIVERY_DELAY_MS = 200L
+
 /** A [WireFormat] with short header names. */
 internal object TestWire : WireFormat {
     override fun readCall(path: String, headers: HttpHeaders): CallSpec? {
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/UnframedResponseTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/UnframedResponseTest.kt
@@ -17,7 +17,7 @@
 /** Responses with neither a length nor chunks, which end with their connection. */
 class UnframedResponseTest {
     private val traffic = TestTraffic()
-    private val server = ScriptedServer(receiveBufferBytes = 64 * 1024)
+    private val server = ScriptedServer(receiveBufferBytes = RECEIVE_BUFFER_BYTES)
 
     @AfterEach
     fun close() {
@@ -107,14 +107,13 @@
     private companion object {
         const val HEAD = "HTTP/1.1 200 OK\r\nid: r1\r\nsigned: 1\r\n\r\n"
 
+        const val RECEIVE_BUFFER_BYTES = 64 * 1024
+
         /** Exceeds the buffers of both sockets. */
         const val LONG_BODY = 16 * 1024 * 1024
 
         /** Whether the write or the read meets a reset first varies. */
         const val ATTEMPTS = 5
-
-        /** Time for bytes to arrive before a reset, which discards unread bytes. */
-        const val DELIVERY_DELAY_MS = 200L
         val TRUNCATED = SendOutcome.Broken(BreakReason.TRUNCATED)
     }
 }
