Count arrivals at stand-in servers as the rule on retries does

Cause: no test counted arrivals over all servers and VMs; the soak and the failure tests only counted runs.

--- a/standins/src/main/kotlin/org/pomeloladder/standins/RouteServerStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/RouteServerStandIn.kt
@@ -1,13 +1,14 @@
 /*
- * A simulated backend server of the users' platform. It counts how often it processes each request,
- * stamps its responses with its id and streams events. It can be set to reject requests as full, to
- * fail, or to cut off a response part-way.
+ * A simulated backend server of the users' platform. It records the arrival of each request, counts
+ * how often it processes each, stamps its responses with its id and streams events. It can be set to
+ * reject requests as full, to fail, or to cut off a response part-way.
  */
 package org.pomeloladder.standins
 
 import java.io.IOException
 import java.io.InputStream
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
 import org.http4k.core.Body
 import org.http4k.core.HttpHandler
@@ -23,6 +24,7 @@
 /** Requests with this path prefix get a stream of [RouteServerStandIn.STREAM_EVENTS] events. */
 private const val STREAM_PATH_PREFIX = "/stream/"
 private const val EVENT_INTERVAL_MS = 15L
+private const val NANOS_PER_MS = 1_000_000L
 
 /**
  * How the server responds: normally, with 503 because it is full, with 500 after processing, or
@@ -30,6 +32,9 @@
  */
 enum class ServerMode { SOUND, FULL, FAILING, BREAKING }
 
+/** The arrival of a request at a server, by the system's monotonic clock. */
+class Arrival(val requestId: String, val atMs: Long)
+
 /**
  * A server with the id [instance] that processes each request for [processingMs] before responding.
  */
@@ -39,6 +44,9 @@
     /** Number of times that each request was processed, by request id. */
     val runs = ConcurrentHashMap<String, AtomicInteger>()
 
+    /** All arrivals so far, including those that the server rejected. */
+    val arrivals = ConcurrentLinkedQueue<Arrival>()
+
     @Volatile
     var mode = ServerMode.SOUND
 
@@ -55,6 +63,7 @@
             """"State":"$state","ColdLeftMs":0,"Seq":1,"born":1}"""
 
     private fun handler(): HttpHandler = { request ->
+        request.header(REQUEST_ID_HEADER)?.let { arrivals += Arrival(it, monotonicMs()) }
         val expected = request.header(EXPECT_INSTANCE_HEADER)
         when {
             expected != null && expected != instance -> answer(request, Status(WRONG_INSTANCE, ""))
@@ -121,6 +130,9 @@
     companion object {
         const val STREAM_EVENTS = 20
 
+        /** The clock of [Arrival.atMs]. */
+        fun monotonicMs(): Long = System.nanoTime() / NANOS_PER_MS
+
         /** From this event on, a stream of a server in mode [ServerMode.BREAKING] fails. */
         private const val FIRST_BROKEN_EVENT = STREAM_EVENTS / 2
 
