Log who counts the arrivals of a call and how much of the retry budget is used

Cause: lines 410 and 412 didn't tell whether a call was relayed, nor what its process knew of the retry budget, so that paid and unpaid arrivals beyond the first could only be told apart by joining the lines of all processes.

Change: both lines have origin, extraArrivals and knownVms. No decision changes.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -201,9 +201,17 @@
             "quarantined" to quarantinedParts(world, call).joinToString(" ") { it.id.toString() },
             "servers" to servers.joinToString(" ") { describeServer(world, it, tick.nowMs) },
             "revision" to world.process.view?.revision,
-        )
+        ) + retryDetails(world, tick, call)
     }
 
+    /** Log fields for who counts the arrivals of [call], and the state of its retry budget here. */
+    private fun retryDetails(world: GatewayWorld, tick: GatewayTick, call: Call) = mapOf(
+        "origin" to call.spec.origin,
+        "extraArrivals" to
+            world.service(call.service).retryBudget.extraArrivals(tick.nowMs, world.bounds),
+        "knownVms" to world.process.knownVms,
+    )
+
     private fun describeServer(world: GatewayWorld, backend: Backend, nowMs: Long): String {
         val reportAgeMs = if (backend.lastReport == null) -1 else nowMs - backend.lastReportMs
         val isUsable = isUsable(world, backend, nowMs)
@@ -240,7 +248,8 @@
         val service = world.catalog?.service(call.service)
         val send = newSend(world, tick, call, SendPlace.AtServer(backend.id))
         send.expectedFirstEventMs = choice.waitMs
-        val extraDetails = serverDetails(choice, call.spec.prompt, call.route.priority)
+        val details = retryDetails(world, tick, call) +
+            serverDetails(choice, call.spec.prompt, call.route.priority)
         if (tick.nowMs < backend.coldUntilMs) backend.coldSendTimesMs.addLast(tick.nowMs)
         backend.inFlight++
         call.spec.prompt?.let { prompt -> addPromptLoad(world, choice, send, prompt, service) }
@@ -252,7 +261,7 @@
             needsFreshConnection = !call.route.isRepeatable,
             kvCopySource = choice.source?.holder?.record?.address,
         )
-        issueSend(tick, call, send, target, CONNECT_TIMEOUT_MS, replaced, extraDetails)
+        issueSend(tick, call, send, target, CONNECT_TIMEOUT_MS, replaced, details)
     }
 
     /** Log fields for what this process knows of the chosen server when it sends [prompt] there. */
@@ -309,7 +318,8 @@
             address = peer.identity.relay,
             catalogVersion = world.catalog?.version ?: 0,
         )
-        issueSend(tick, call, send, target, PEER_CONNECT_TIMEOUT_MS, replaced)
+        val details = retryDetails(world, tick, call)
+        issueSend(tick, call, send, target, PEER_CONNECT_TIMEOUT_MS, replaced, details)
     }
 
     private fun newSend(
@@ -331,7 +341,7 @@
         target: SendTarget,
         connectTimeoutMs: Long,
         replaced: ReplacedSend?,
-        extraDetails: Map<String, Any?> = emptyMap(),
+        extraDetails: Map<String, Any?>,
     ) {
         if (replaced == null) call.currentSend = send.id else call.replacementSend = send.id
         val remainingMs = call.remainingMs(tick.nowMs)
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RetryBudget.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RetryBudget.kt
@@ -32,6 +32,12 @@
         return true
     }
 
+    /** The extra arrivals within the window of [nowMs], for the log. */
+    fun extraArrivals(nowMs: Long, bounds: GatewayBounds): Int {
+        expire(nowMs - bounds.retryWindowMs)
+        return extraTimes.size
+    }
+
     /** Returns the last extra arrival to the budget, since it was not sent. */
     fun refund() {
         extraTimes.removeLastOrNull()
