Tell the VM that relayed a call how many servers received it before a refusal

Cause: a peer whose servers had rejected a relayed call refused it with the mark of a call that it had sent to no server. The VM that received the call from its caller counted no arrival, so its next send needed no retry budget, at each peer anew. The class: what a process spends on behalf of another one is not told to the one that pays.

Change: RefuseCall carries the arrivals of the call, and a refused relay tells them in the header relay-arrivals. A refusal without it, from a peer of an earlier version, counts as one arrival. The next send then takes a retry from the budget or is not made.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -177,7 +177,7 @@
             LogEvent.CALL_REFUSED,
             refusalDetails(world, tick, call, reason, publicReason),
         )
-        tick.emit(RefuseCall(call.id, publicReason, retryAfterMs))
+        tick.emit(RefuseCall(call.id, publicReason, retryAfterMs, call.arrivals))
     }
 
     private fun refusalDetails(
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
@@ -60,9 +60,17 @@
 /** Ends a call whose stream was forwarded completely. */
 data class EndStream(val call: CallId) : GatewayCommand
 
-/** Ends a call with an error response of this process, or aborts its stream if that has started. */
-data class RefuseCall(val call: CallId, val reason: CallRefusal, val retryAfterMs: Long? = null) :
-    GatewayCommand
+/**
+ * Ends a call with an error response of this process, or aborts its stream if that has started.
+ * [arrivals] is the number of times that the call reached a server; a peer that relayed the call
+ * counts them against its retry budget.
+ */
+data class RefuseCall(
+    val call: CallId,
+    val reason: CallRefusal,
+    val retryAfterMs: Long? = null,
+    val arrivals: Int = 0,
+) : GatewayCommand
 
 /** Why a call ends without an answer from a backend server. */
 enum class CallRefusal(val runState: RunState) {
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
@@ -79,10 +79,10 @@
     data class Answered(val status: Int) : SendOutcome
 
     /**
-     * The server reports that it did not run the request. [hasArrived] is false when a peer refused
-     * the call without sending it to a server.
+     * The server reports that it did not run the request, or a peer that no server did. [arrivals] is
+     * the number of servers that the request reached.
      */
-    data class NotRun(val reason: NotRunReason, val hasArrived: Boolean = true) : SendOutcome
+    data class NotRun(val reason: NotRunReason, val arrivals: Int = 1) : SendOutcome
 
     /** The connection was lost, or the answer cannot be used. The request may have run. */
     data class Broken(val reason: BreakReason) : SendOutcome
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -163,7 +163,7 @@
         send: Send,
         outcome: SendOutcome.NotRun,
     ) {
-        if (outcome.hasArrived) call.arrivals++
+        call.arrivals += outcome.arrivals
         markAvoided(call, send)
         tick.journal.count(Counter.RETRIES, outcome.reason.name.lowercase())
         if (outcome.reason == NotRunReason.WRONG_INSTANCE) {
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/CallerConnection.kt
@@ -200,7 +200,7 @@
         finish(response)
     }
 
-    override fun refuse(reason: CallRefusal, retryAfterMs: Long?) {
+    override fun refuse(reason: CallRefusal, retryAfterMs: Long?, arrivals: Int) {
         val current = exchange ?: return
         if (current.isStreamStarted) {
             // Closing without the last chunk tells the caller that the stream is incomplete.
@@ -214,7 +214,7 @@
         val status = callHandler.prepareRefusal(reason, retryAfterMs, response.headers())
         response.status = HttpResponseStatus.valueOf(status)
         if (isRelay && reason.runState == RunState.NOT_RUN) {
-            Relay.markRefused(response.headers())
+            Relay.markRefused(response.headers(), arrivals)
         }
         if (isRelay && reason == CallRefusal.SERVER_CRASHED) Relay.markCrashed(response.headers())
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0)
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/Exchange.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/Exchange.kt
@@ -29,8 +29,11 @@
     /** Writes a complete response. */
     fun sendResponse(status: Int, headers: HttpHeaders, body: ByteArray)
 
-    /** Ends a call without a server's response. Closes the connection if a stream has started. */
-    fun refuse(reason: CallRefusal, retryAfterMs: Long?)
+    /**
+     * Ends a call without a server's response after [arrivals] at servers. Closes the connection if a
+     * stream has started.
+     */
+    fun refuse(reason: CallRefusal, retryAfterMs: Long?, arrivals: Int)
 }
 
 /** Request and response progress of one call. Confined to the traffic thread. */
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -192,8 +192,11 @@
             is CancelSend -> cancelSend(command.send)
             is DeliverAnswer -> deliverAnswer(command)
             is EndStream -> exchanges[command.call]?.sink?.endStream()
-            is RefuseCall ->
-                exchanges[command.call]?.sink?.refuse(command.reason, command.retryAfterMs)
+            is RefuseCall -> exchanges[command.call]?.sink?.refuse(
+                command.reason,
+                command.retryAfterMs,
+                command.arrivals,
+            )
             is SendGossip -> gossip.send(command)
             is FetchView -> fetchView(command.from)
             is CheckHealth -> checkHealth(command)
@@ -381,7 +384,11 @@
         val heldResponse = exchange.heldResponses[command.send] ?: return
         if (exchange.isStreamStarted) {
             // A stream may start after the control thread has issued this command.
-            return exchange.sink.refuse(CallRefusal.STREAM_BROKEN, null)
+            return exchange.sink.refuse(
+                CallRefusal.STREAM_BROKEN,
+                retryAfterMs = null,
+                arrivals = 1,
+            )
         }
         exchange.sink.sendResponse(
             heldResponse.head.status,
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/Relay.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/Relay.kt
@@ -28,7 +28,11 @@
 internal object Relay {
     private const val ENVELOPE = "relay-envelope"
     private const val REFUSED = "relay-refused"
+    private const val ARRIVALS = "relay-arrivals"
     private const val CRASHED = "relay-crashed"
+
+    /** More than a peer makes for one call. */
+    private const val MAX_ARRIVALS = 1_000
     private val cbor = Cbor { ignoreUnknownKeys = true }
 
     fun writeEnvelope(headers: HttpHeaders, envelope: RelayEnvelope) {
@@ -52,13 +56,21 @@
         }
     }
 
-    /** Marks a response as the refusal of a peer that has sent the call to no server. */
-    fun markRefused(headers: HttpHeaders) {
+    /** Marks a response as the refusal of a call that [arrivals] servers received and none ran. */
+    fun markRefused(headers: HttpHeaders, arrivals: Int) {
         headers.set(REFUSED, "1")
+        headers.set(ARRIVALS, arrivals)
     }
 
     fun isRefused(headers: HttpHeaders): Boolean = headers.contains(REFUSED)
 
+    /**
+     * Returns the number of servers that received a refused call. A peer of an earlier version does
+     * not tell it, and may have sent the call to one.
+     */
+    fun arrivals(headers: HttpHeaders): Int =
+        headers.getInt(ARRIVALS)?.coerceIn(0, MAX_ARRIVALS) ?: 1
+
     /** Marks a response as the failure of a call whose server crashed as it began to answer. */
     fun markCrashed(headers: HttpHeaders) {
         headers.set(CRASHED, "1")
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -468,7 +468,7 @@
         headers: HttpHeaders,
     ): SendOutcome? = when {
         active.target is SendTarget.Peer && Relay.isRefused(headers) ->
-            SendOutcome.NotRun(NotRunReason.PEER_REFUSED, hasArrived = false)
+            SendOutcome.NotRun(NotRunReason.PEER_REFUSED, Relay.arrivals(headers))
         active.target is SendTarget.Peer && Relay.isCrashed(headers) ->
             SendOutcome.Broken(BreakReason.CRASHED_AT_PEER)
         // It may be a repeated response to an earlier request.
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
@@ -5,6 +5,7 @@
 package org.pomeloladder.gateway
 
 import java.util.PriorityQueue
+import kotlin.random.Random
 import org.pomeloladder.configuration.BackendServerId
 import org.pomeloladder.configuration.RegionId
 import org.pomeloladder.configuration.ServiceId
@@ -111,6 +112,14 @@
     var deadlyPart: PartId? = null
     var crashPoint = CrashPoint.AFTER_HEAD
 
+    /** Share of the requests that each engine rejects without running them. */
+    var rejectedShare = 0.0
+    private val rejections = Random(1)
+
+    /** Times at which callers sent requests, and at which each request reached an engine. */
+    val requestTimesMs = ArrayList<Long>()
+    val arrivalTimesMs = LinkedHashMap<RequestId, ArrayList<Long>>()
+
     /** Time from the first event of an answer to its end. */
     var answerMs = 1L
 
@@ -173,6 +182,7 @@
         val entry = vms.filter { it.identity.region == region }.let { it[vm % it.size] }
         val id = RequestId("request-${++nextCall}")
         arrivedMs[id] = nowMs
+        requestTimesMs += nowMs
         requests[entry.identity.vm to CallId(nextCall)] = id
         entry.inbox += CallArrived(
             CallId(nextCall),
@@ -235,7 +245,7 @@
         val (origin, send) = relay
         val outcome = when {
             command.reason.runState == RunState.NOT_RUN ->
-                SendOutcome.NotRun(NotRunReason.PEER_REFUSED, hasArrived = false)
+                SendOutcome.NotRun(NotRunReason.PEER_REFUSED, command.arrivals)
             command.reason == CallRefusal.SERVER_CRASHED ->
                 SendOutcome.Broken(BreakReason.CRASHED_AT_PEER)
             else -> SendOutcome.Answered(502)
@@ -265,7 +275,7 @@
                 val engine = checkNotNull(byEngine[target.id])
                 check(engine.region == vm.identity.region) { "engines serve their own region" }
                 if (engine.isUp(nowMs)) {
-                    run(vm, start, engine, checkNotNull(spec.prompt))
+                    arrive(vm, start, engine, spec)
                 } else {
                     val reason = NotWrittenReason.CONNECT_FAILED
                     vm.inbox += SendNotWritten(start.send, reason)
@@ -274,6 +284,15 @@
         }
     }
 
+    private fun arrive(vm: Vm, start: StartSend, engine: TestEngine, spec: CallSpec) {
+        arrivalTimesMs.getOrPut(spec.requestId) { ArrayList() } += nowMs
+        if (rejections.nextDouble() >= rejectedShare) {
+            return run(vm, start, engine, checkNotNull(spec.prompt))
+        }
+        val notRun = SendOutcome.NotRun(NotRunReason.FULL)
+        schedule(nowMs + LOCAL_DELAY_MS) { vm.inbox += SendEnded(start.send, notRun, null) }
+    }
+
     private fun run(vm: Vm, start: StartSend, engine: TestEngine, prompt: Prompt) {
         val isDeadly = prompt.parts.any { it.id == deadlyPart }
         if (isDeadly) deadlyArrivalsMs += nowMs
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
@@ -5,6 +5,8 @@
 import java.util.concurrent.TimeUnit
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import org.pomeloladder.configuration.Address
 import org.pomeloladder.configuration.BackendServerId
 import org.pomeloladder.configuration.VmId
@@ -619,6 +621,43 @@
         expectThat(socket.readHead()).contains("relay-crashed")
     }
 
+    // Guards against arrivals at servers of a peer that no process takes from its retry budget.
+    @Test
+    fun `a refused relayed call tells its peer how many servers received it`() {
+        val socket = traffic.peer()
+        val envelope = DefaultHttpHeaders()
+        Relay.writeEnvelope(envelope, RelayEnvelope(VmId("other"), 1, 5_000))
+        val fields = envelope.joinToString("") { "${it.key}: ${it.value}\r\n" }
+        val call = traffic.request(socket, "r1", fields = fields)
+        traffic.execute(RefuseCall(call, CallRefusal.NO_BUDGET, arrivals = 3))
+
+        expectThat(socket.readHead()).contains("relay-arrivals: 3")
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+        "relay-arrivals: 3, 3",
+        "relay-arrivals: 0, 0",
+        "relay-arrivals: x, 1",
+        "other: 1, 1",
+    )
+    fun `the servers that received a call refused by a peer are counted`(
+        field: String,
+        count: Int,
+    ) {
+        val call = traffic.request(traffic.caller(), "r1")
+        val peer = SendTarget.Peer(VmId("p"), Address("127.0.0.1", server.port), 1)
+        traffic.execute(StartSend(SendId(99), call, peer, 5_000, 1, isStream = true, 1_000))
+        val connection = server.accept()
+        connection.readHead()
+        connection.write(
+            "HTTP/1.1 503 Unavailable\r\nrelay-refused: 1\r\n$field\r\ncontent-length: 0\r\n\r\n",
+        )
+
+        expectThat(traffic.await<SendEnded>().outcome)
+            .isEqualTo(SendOutcome.NotRun(NotRunReason.PEER_REFUSED, count))
+    }
+
     @Test
     fun `a view that cannot be decoded is reported and the traffic thread keeps running`() {
         val body = "not a view"
