Return to a retry budget the very arrival that was not sent

What callers saw: calls were refused with NO_BUDGET although a retry had reached no server, since only replacements were refunded: a retry whose connection failed, or that a peer refused without sending it, stayed spent.

Cause: a refund took back the newest arrival, whichever send it was of. When another send had taken one in between, that one left the count while the unsent one stayed, and left the window earlier than the sent one.

Change: each send keeps its permit. A send that was not written, or that a peer refused before any server had it, returns exactly that one.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -53,16 +53,35 @@
                 // already has events is better served by a late end of the stream.
                 choice.waitMs > remainingMs && !call.isStreamStarted ->
                     fail(world, tick, call, CallRefusal.OVERLOADED, retryAfterMs(choice.waitMs))
-                tryAcquireRetry(world, tick, call) -> sendToServer(world, tick, call, choice, null)
-                else -> fail(world, tick, call, CallRefusal.NO_BUDGET, MIN_RETRY_AFTER_MS)
-            }
-            is Placement.Remote -> when {
-                tryAcquireRetry(world, tick, call) -> sendToPeer(world, tick, call, choice, null)
-                else -> fail(world, tick, call, CallRefusal.NO_BUDGET, MIN_RETRY_AFTER_MS)
+                else -> sendIfPermitted(world, tick, call, choice)
             }
+            is Placement.Remote -> sendIfPermitted(world, tick, call, choice)
         }
     }
 
+    private fun sendIfPermitted(
+        world: GatewayWorld,
+        tick: GatewayTick,
+        call: Call,
+        choice: Placement.Candidate,
+    ) {
+        val permit = acquirePermit(world, tick, call)
+            ?: return fail(world, tick, call, CallRefusal.NO_BUDGET, MIN_RETRY_AFTER_MS)
+        send(world, tick, call, choice, permit)
+    }
+
+    private fun send(
+        world: GatewayWorld,
+        tick: GatewayTick,
+        call: Call,
+        choice: Placement.Candidate,
+        permit: SendPermit,
+        replaced: ReplacedSend? = null,
+    ) = when (choice) {
+        is Placement.Local -> sendToServer(world, tick, call, choice, permit, replaced)
+        is Placement.Remote -> sendToPeer(world, tick, call, choice, permit, replaced)
+    }
+
     private fun choose(world: GatewayWorld, tick: GatewayTick, call: Call): Placement {
         // The catalog may have given the route homes while the call waited or ran.
         world.catalog?.findRoute(call.spec.host, call.spec.path)?.let { call.latestRoute = it }
@@ -128,18 +147,10 @@
         call.avoidedServers += server.id
         val choice = choose(world, tick, call)
         call.avoidedServers -= server.id
-        val waitMs = when (choice) {
-            is Placement.Unavailable -> return
-            is Placement.Local -> choice.waitMs
-            is Placement.Remote -> choice.waitMs
-        }
-        if (isServerAlive && waitMs * SLOW_FACTOR > remainingMs) return
-        if (!tryAcquireRetry(world, tick, call, call.arrivals + 1)) return
-        when (choice) {
-            is Placement.Local -> sendToServer(world, tick, call, choice, replaced)
-            is Placement.Remote -> sendToPeer(world, tick, call, choice, replaced)
-            is Placement.Unavailable -> Unit
-        }
+        if (choice !is Placement.Candidate) return
+        if (isServerAlive && choice.waitMs * SLOW_FACTOR > remainingMs) return
+        val permit = acquirePermit(world, tick, call, call.arrivals + 1) ?: return
+        send(world, tick, call, choice, permit, replaced)
     }
 
     /** Ends [call], which a server may be working on, with [reason] or as perhaps run. */
@@ -220,21 +231,21 @@
     }
 
     /**
-     * Takes one retry from the budget when the call already has [arrivals] at servers, and returns
-     * whether it may be sent. The first send needs no budget.
+     * Returns the permission for a send of [call], which already has [arrivals] at servers, or null
+     * if it needs a retry and the budget has none left.
      */
-    private fun tryAcquireRetry(
+    private fun acquirePermit(
         world: GatewayWorld,
         tick: GatewayTick,
         call: Call,
         arrivals: Int = call.arrivals,
-    ): Boolean {
-        if (arrivals == 0) return true
+    ): SendPermit? {
+        if (arrivals == 0) return SendPermit.First
         val vms = maxOf(world.process.knownVms + 1, world.seeds.size)
-        val isGranted =
+        val permit =
             world.service(call.service).retryBudget.tryAcquire(tick.nowMs, world.bounds, vms)
-        tick.journal.count(Counter.RETRIES, if (isGranted) "sent" else "no-budget")
-        return isGranted
+        tick.journal.count(Counter.RETRIES, if (permit != null) "sent" else "no-budget")
+        return permit
     }
 
     private fun sendToServer(
@@ -242,11 +253,12 @@
         tick: GatewayTick,
         call: Call,
         choice: Placement.Local,
+        permit: SendPermit,
         replaced: ReplacedSend?,
     ) {
         val backend = choice.backend
         val service = world.catalog?.service(call.service)
-        val send = newSend(world, tick, call, SendPlace.AtServer(backend.id))
+        val send = newSend(world, tick, call, SendPlace.AtServer(backend.id), permit)
         send.expectedFirstEventMs = choice.waitMs
         val details = retryDetails(world, tick, call) +
             serverDetails(choice, call.spec.prompt, call.route.priority)
@@ -307,11 +319,12 @@
         tick: GatewayTick,
         call: Call,
         choice: Placement.Remote,
+        permit: SendPermit,
         replaced: ReplacedSend?,
     ) {
         val peer = choice.peer
         peer.relayedSinceDatagram++
-        val send = newSend(world, tick, call, SendPlace.AtPeer(peer.vm))
+        val send = newSend(world, tick, call, SendPlace.AtPeer(peer.vm), permit)
         send.expectedFirstEventMs = choice.waitMs
         val target = SendTarget.Peer(
             vm = peer.vm,
@@ -327,9 +340,10 @@
         tick: GatewayTick,
         call: Call,
         place: SendPlace,
+        permit: SendPermit,
     ): Send {
         val id = SendId(++world.process.nextSend)
-        val send = Send(id, call.id, place, tick.nowMs, call.route.priority)
+        val send = Send(id, call.id, place, tick.nowMs, call.route.priority, permit)
         world.sends[send.id] = send
         return send
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -197,6 +197,7 @@
     val place: SendPlace,
     val startedMs: Long,
     val priority: Int,
+    val permit: SendPermit,
 ) {
     /** Prompt tokens that count as pending at the server until the first event. */
     var pendingTokens = 0L
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RetryBudget.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RetryBudget.kt
@@ -10,6 +10,15 @@
  */
 private const val USED_FRACTION = 0.85
 
+/** Permission for one send. */
+sealed interface SendPermit {
+    /** The first send of a call needs no budget. */
+    data object First : SendPermit
+
+    /** A retry, taken from the budget at [takenMs]. */
+    data class Retry(val takenMs: Long) : SendPermit
+}
+
 /** The retry budget of one service at one process. */
 class RetryBudget {
     private val callTimes = ArrayDeque<Long>()
@@ -20,16 +29,16 @@
     }
 
     /**
-     * Takes one extra arrival from this process's share of the budget, if any is left. The share is
-     * a ratio of its own calls, plus an equal part of the slack for each of [vms] entry VMs.
+     * Takes one extra arrival from this process's share of the budget, or returns null when none is
+     * left. The share is a ratio of its own calls, plus an equal part of the slack for each of [vms] entry VMs.
      */
-    fun tryAcquire(nowMs: Long, bounds: GatewayBounds, vms: Int): Boolean {
+    fun tryAcquire(nowMs: Long, bounds: GatewayBounds, vms: Int): SendPermit.Retry? {
         expire(nowMs - bounds.retryWindowMs)
         val allowed =
             USED_FRACTION * (bounds.retryRatio * callTimes.size + bounds.retrySlack / vms)
-        if (extraTimes.size + 1 > allowed) return false
+        if (extraTimes.size + 1 > allowed) return null
         extraTimes.addLast(nowMs)
-        return true
+        return SendPermit.Retry(nowMs)
     }
 
     /** The extra arrivals within the window of [nowMs], for the log. */
@@ -38,9 +47,9 @@
         return extraTimes.size
     }
 
-    /** Returns the last extra arrival to the budget, since it was not sent. */
-    fun refund() {
-        extraTimes.removeLastOrNull()
+    /** Returns [permit] to the budget, since its send reached no server. */
+    fun refund(permit: SendPermit) {
+        if (permit is SendPermit.Retry) extraTimes.remove(permit.takenMs)
     }
 
     private fun expire(beforeMs: Long) {
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -62,9 +62,10 @@
         tick.journal.count(Counter.RETRIES, event.reason.name.lowercase())
         logEnd(tick, call, send, event.reason)
         if (event.reason != NotWrittenReason.NOT_NEEDED) markAvoided(call, send)
+        world.service(call.service).retryBudget.refund(send.permit)
         if (call.replacementSend == send.id) {
             call.replacementSend = null
-            return world.service(call.service).retryBudget.refund()
+            return
         }
         placer.place(world, tick, call)
     }
@@ -96,10 +97,11 @@
             updateFailureRate(backend, event.outcome)
         }
         if (call == null) return
-        if (call.replacementSend != null) {
-            // The replacement can no longer take over from this send, so nothing of it is sent.
+        call.replacementSend?.let { replacement ->
+            // It can no longer take over from this send, so nothing of it is sent.
+            val permit = world.sends[replacement]?.permit
             stopReplacement(world, tick, call)
-            world.service(call.service).retryBudget.refund()
+            permit?.let { world.service(call.service).retryBudget.refund(it) }
         }
         call.currentSend = null
         logEnd(tick, call, send, event.outcome, event)
@@ -164,6 +166,7 @@
         outcome: SendOutcome.NotRun,
     ) {
         call.arrivals += outcome.arrivals
+        if (outcome.arrivals == 0) world.service(call.service).retryBudget.refund(send.permit)
         markAvoided(call, send)
         tick.journal.count(Counter.RETRIES, outcome.reason.name.lowercase())
         if (outcome.reason == NotRunReason.WRONG_INSTANCE) {
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
@@ -7,6 +7,7 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 
 class SendSystemTest {
@@ -241,7 +242,7 @@
     fun `a send to a silent server continues when the retry budget is exhausted`() {
         val first = quietStream(1_500)
         val retryBudget = gateway.world.service(MODEL).retryBudget
-        while (retryBudget.tryAcquire(gateway.nowMs, gateway.world.bounds, 1)) Unit
+        while (retryBudget.tryAcquire(gateway.nowMs, gateway.world.bounds, 1) != null) Unit
 
         gateway.tick(SendStalled(first.send, 1_500)).expectNoChangeOfSends()
     }
@@ -269,7 +270,7 @@
         expectThat(after.all<EndStream>()).hasSize(1)
         expectThat(gateway.world.sends.size).isEqualTo(0)
         expectThat(gateway.world.backends.sumOf { it.inFlight }).isEqualTo(0)
-        expectThat(retryBudget.tryAcquire(gateway.nowMs, gateway.world.bounds, 1)).isEqualTo(true)
+        expectThat(retryBudget.tryAcquire(gateway.nowMs, gateway.world.bounds, 1)).isNotNull()
     }
 
     // Guards against dropping a complete answer, and asking for it again, because it arrives just
@@ -303,7 +304,7 @@
         val first = quietStream(1_500)
         val replacement = gateway.tick(SendStalled(first.send, 1_500)).only<StartSend>()
         val retryBudget = gateway.world.service(MODEL).retryBudget
-        while (retryBudget.tryAcquire(gateway.nowMs, gateway.world.bounds, 1)) Unit
+        while (retryBudget.tryAcquire(gateway.nowMs, gateway.world.bounds, 1) != null) Unit
         val after = gateway.tick(
             broken(first),
             SendNotWritten(replacement.send, NotWrittenReason.NOT_NEEDED),
@@ -311,7 +312,7 @@
 
         expectThat(after.all<RefuseCall>()).isEmpty()
         expectThat(after.all<StartSend>()).hasSize(1)
-        expectThat(retryBudget.tryAcquire(gateway.nowMs, gateway.world.bounds, 1)).isEqualTo(false)
+        expectThat(retryBudget.tryAcquire(gateway.nowMs, gateway.world.bounds, 1)).isNull()
     }
 
     /** Returns the send that resumes a stream on [brief], which broke after its first event. */
@@ -387,6 +388,19 @@
         expectThat(gateway.world.calls[call]).isNull()
     }
 
+    // Guards against a call that is refused for lack of a retry that reached no server.
+    @Test
+    fun `a retry that reached no server returns to the budget`() {
+        val first = gateway.call(lookup).second.only<StartSend>()
+        val retryBudget = gateway.world.service(SHOP).retryBudget
+        val retry = gateway.tick(SendEnded(first.send, SendOutcome.Answered(500), null))
+            .only<StartSend>()
+        while (retryBudget.tryAcquire(gateway.nowMs, gateway.world.bounds, 1) != null) Unit
+        val after = gateway.tick(SendNotWritten(retry.send, NotWrittenReason.CONNECT_FAILED))
+
+        expectThat(after.all<StartSend>()).hasSize(1)
+    }
+
     private companion object {
         /** Pending tokens of other calls that take longer than any route of the test allows. */
         const val LATE_TOKENS = 1_000_000L
