Count a retry until it cannot arrive within the window any more

What callers saw: nothing yet; the rule counts a retry when it reaches a server, the budget counted it when it was sent. A send may be under way for as long as connecting to a peer and from there to a server takes, so that late arrivals met those that were sent after the window had passed.

Change: a retry stays in the count for that time beyond the window. The test of the window asks for the longer time now, which is stricter, and 'a send counts until it cannot arrive within the window any more' fails without it.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RetryBudget.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RetryBudget.kt
@@ -10,6 +10,12 @@
  */
 private const val USED_FRACTION = 0.85
 
+/**
+ * Maximum time from the start of a send to its arrival: connecting to a peer in another region, and
+ * from there to a server.
+ */
+internal const val MAX_ARRIVAL_DELAY_MS = 1_050L
+
 /** Permission for one send. */
 sealed interface SendPermit {
     /** The first send of a call needs no budget. */
@@ -33,7 +39,7 @@
      * left. The share is a ratio of its own calls, plus an equal part of the slack for each of [vms] entry VMs.
      */
     fun tryAcquire(nowMs: Long, bounds: GatewayBounds, vms: Int): SendPermit.Retry? {
-        expire(nowMs - bounds.retryWindowMs)
+        expire(nowMs, bounds)
         val allowed =
             USED_FRACTION * (bounds.retryRatio * callTimes.size + bounds.retrySlack / vms)
         if (extraTimes.size + 1 > allowed) return null
@@ -43,7 +49,7 @@
 
     /** The extra arrivals within the window of [nowMs], for the log. */
     fun extraArrivals(nowMs: Long, bounds: GatewayBounds): Int {
-        expire(nowMs - bounds.retryWindowMs)
+        expire(nowMs, bounds)
         return extraTimes.size
     }
 
@@ -52,8 +58,11 @@
         if (permit is SendPermit.Retry) extraTimes.remove(permit.takenMs)
     }
 
-    private fun expire(beforeMs: Long) {
-        while (callTimes.isNotEmpty() && callTimes.first() < beforeMs) callTimes.removeFirst()
-        while (extraTimes.isNotEmpty() && extraTimes.first() < beforeMs) extraTimes.removeFirst()
+    private fun expire(nowMs: Long, bounds: GatewayBounds) {
+        val windowStartMs = nowMs - bounds.retryWindowMs
+        while (callTimes.isNotEmpty() && callTimes.first() < windowStartMs) callTimes.removeFirst()
+        // What was sent before the window may arrive within it.
+        val sentSinceMs = windowStartMs - MAX_ARRIVAL_DELAY_MS
+        while (extraTimes.isNotEmpty() && extraTimes.first() < sentSinceMs) extraTimes.removeFirst()
     }
 }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/RetryBudgetTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/RetryBudgetTest.kt
@@ -26,7 +26,16 @@
         budget.exhaust(0)
 
         expectThat(budget.tryAcquire(9_999, bounds, vms = 1)).isNull()
-        expectThat(budget.tryAcquire(10_001, bounds, vms = 1)).isNotNull()
+        expectThat(budget.tryAcquire(11_051, bounds, vms = 1)).isNotNull()
+    }
+
+    // Guards against a window in which late arrivals meet those that are sent in it.
+    @Test
+    fun `a send counts until it cannot arrive within the window any more`() {
+        val budget = RetryBudget()
+        budget.exhaust(0)
+
+        expectThat(budget.tryAcquire(11_000, bounds, vms = 1)).isNull()
     }
 
     // Guards against a refund of a later arrival, after which the window holds one too many.
