Keep the shares of the retry slack within the whole across restarts and cuts

Cause: a share was computed from what a process had heard lately, as if what it had not heard did not exist. Seeds name three VMs at most.

Change: RetrySlack divides the slack by the regions of the settings, then by the VMs of the own region that were listed within an hour. A process has none until sends of an earlier process of its VM have left the window, or while it has met none of the VMs that its seeds name. The ratio of its own calls is not touched by any of this.

Weighed: half of a share for each of two processes within a window (less in all the time, and three restarts exceed it); asking peers whether an earlier process ran (nobody knows after all VMs were killed).

TestGateway now stands for a process that has been up for a minute; the test of cold servers at a start asks for a fresh one. 'a VM that is no longer listed is removed and does not count for shared budgets' asked for the fault; it is replaced by one that asks for the hour.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -220,7 +220,7 @@
         "origin" to call.spec.origin,
         "extraArrivals" to
             world.service(call.service).retryBudget.extraArrivals(tick.nowMs, world.bounds),
-        "knownVms" to world.process.knownVms,
+        "retrySlack" to retrySlackShare(world, tick.nowMs),
     )
 
     private fun describeServer(world: GatewayWorld, backend: Backend, nowMs: Long): String {
@@ -241,9 +241,9 @@
         arrivals: Int = call.arrivals,
     ): SendPermit? {
         if (arrivals == 0) return SendPermit.First
-        val vms = maxOf(world.process.knownVms + 1, world.seeds.size)
+        val slack = retrySlackShare(world, tick.nowMs)
         val permit =
-            world.service(call.service).retryBudget.tryAcquire(tick.nowMs, world.bounds, vms)
+            world.service(call.service).retryBudget.tryAcquire(tick.nowMs, world.bounds, slack)
         tick.journal.count(Counter.RETRIES, if (permit != null) "sent" else "no-budget")
         return permit
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RegionLinks.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RegionLinks.kt
@@ -18,6 +18,12 @@
 /** A VM is removed when no datagram has listed it for this long. */
 private const val RETENTION_MS = 60_000L
 
+/**
+ * A VM of this region counts for shared budgets until no datagram has listed it for this long. VMs of
+ * a region may lose each other for about as long and go on serving.
+ */
+private const val BUDGET_RETENTION_MS = 3_600_000L
+
 /** A linked VM that stays silent for this long is replaced by another one. */
 private const val RESPONSE_TIMEOUT_MS = 3_000L
 
@@ -36,12 +42,17 @@
     }
 
     private val knownVms = HashMap<VmId, KnownVm>()
+    private val regionVmsListedMs = HashMap<VmId, Long>()
     private val ownKey = hashKey(self.vm.value)
 
     /** Number of other VMs that were listed within the last minute. */
     val knownVmCount: Int
         get() = knownVms.size
 
+    /** Number of other VMs of this region that were listed within the last hour. */
+    val regionVmCount: Int
+        get() = regionVmsListedMs.size
+
     /** VMs of other regions that are selected as links. */
     var linkedVms: Set<VmId> = emptySet()
         private set
@@ -51,11 +62,13 @@
         val row = knownVms.getOrPut(other.vm) { KnownVm(other) }
         row.address = other
         row.lastListedMs = nowMs
+        if (other.region == self.region) regionVmsListedMs[other.vm] = nowMs
     }
 
     /** Selects the links again. [isResponding] returns whether a VM answered recently. */
     fun selectLinks(nowMs: Long, isResponding: (VmId) -> Boolean) {
         knownVms.values.removeIf { nowMs - it.lastListedMs > RETENTION_MS }
+        regionVmsListedMs.values.removeIf { nowMs - it > BUDGET_RETENTION_MS }
         for (row in knownVms.values) deprioritizeIfSilent(row, nowMs, isResponding(row.address.vm))
         linkedVms = knownVms.values.filter { it.address.region != self.region }
             .groupBy { it.address.region }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RetryBudget.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RetryBudget.kt
@@ -36,12 +36,12 @@
 
     /**
      * Takes one extra arrival from this process's share of the budget, or returns null when none is
-     * left. The share is a ratio of its own calls, plus an equal part of the slack for each of [vms] entry VMs.
+     * left. The share is a ratio of its own calls, plus [slack].
      */
-    fun tryAcquire(nowMs: Long, bounds: GatewayBounds, vms: Int): SendPermit.Retry? {
+    fun tryAcquire(nowMs: Long, bounds: GatewayBounds, slack: Double): SendPermit.Retry? {
         expire(nowMs, bounds)
         val allowed =
-            USED_FRACTION * (bounds.retryRatio * callTimes.size + bounds.retrySlack / vms)
+            USED_FRACTION * (bounds.retryRatio * callTimes.size + slack)
         if (extraTimes.size + 1 > allowed) return null
         extraTimes.addLast(nowMs)
         return SendPermit.Retry(nowMs)
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/CallSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/CallSystemTest.kt
@@ -142,6 +142,7 @@
 
     @Test
     fun `a cold server receives at most this process's share of calls in a second`() {
+        val gateway = TestGateway(uptimeMs = 0)
         val model = route("model") {
             kind = RouteKind.STREAMING
             service = MODEL
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/PeerSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/PeerSystemTest.kt
@@ -112,6 +112,6 @@
         // In 5 s at most 20 per second to this region and 8 per second to the others, and one more
         // to each peer at the ends.
         expectThat(sent).isLessThan(5 * 28 + 65)
-        expectThat(gateway.world.process.knownVms).isEqualTo(65)
+        expectThat(gateway.world.process.knownRegionVms).isEqualTo(25)
     }
 }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/RegionLinksTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/RegionLinksTest.kt
@@ -45,10 +45,25 @@
     }
 
     @Test
-    fun `a VM that is no longer listed is removed and does not count for shared budgets`() {
+    fun `a VM that is no longer listed is removed`() {
         addAddresses(2)
         links.selectLinks(61_000) { false }
 
         expectThat(links.knownVmCount).isEqualTo(0)
     }
+
+    // Guards against shares of a budget that add up to more than the whole while VMs of a region
+    // don't hear each other.
+    @Test
+    fun `a silent VM of the own region counts for shared budgets for an hour`() {
+        val near = identity("near", NORTH)
+        links.addAddress(PeerAddress(near.vm, near.gossip, near.region), 0)
+        addAddresses(2)
+
+        links.selectLinks(3_600_000) { false }
+        expectThat(links.regionVmCount).isEqualTo(1)
+
+        links.selectLinks(3_600_001) { false }
+        expectThat(links.regionVmCount).isEqualTo(0)
+    }
 }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.Test
 import org.pomeloladder.configuration.BackendServerId
+import org.pomeloladder.configuration.ServiceId
 import strikt.api.expectThat
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
@@ -44,6 +45,17 @@
         )
     }
 
+    /** Takes a retry of [service] from the share of the process under test, or returns null. */
+    private fun acquireRetry(service: ServiceId): SendPermit? {
+        val slack = retrySlackShare(gateway.world, gateway.nowMs)
+        val budget = gateway.world.service(service).retryBudget
+        return budget.tryAcquire(gateway.nowMs, gateway.world.bounds, slack)
+    }
+
+    private fun exhaustRetries(service: ServiceId) {
+        while (acquireRetry(service) != null) Unit
+    }
+
     private fun broken(send: StartSend) =
         SendEnded(send.send, SendOutcome.Broken(BreakReason.CONNECTION_LOST), null)
 
@@ -241,8 +253,7 @@
     @Test
     fun `a send to a silent server continues when the retry budget is exhausted`() {
         val first = quietStream(1_500)
-        val retryBudget = gateway.world.service(MODEL).retryBudget
-        while (retryBudget.tryAcquire(gateway.nowMs, gateway.world.bounds, 1) != null) Unit
+        exhaustRetries(MODEL)
 
         gateway.tick(SendStalled(first.send, 1_500)).expectNoChangeOfSends()
     }
@@ -261,7 +272,6 @@
     @Test
     fun `a send that resumes before its replacement connects remains the only one`() {
         val first = quietStream(1_500)
-        val retryBudget = gateway.world.service(MODEL).retryBudget
         val replacement = gateway.tick(SendStalled(first.send, 1_500)).only<StartSend>()
         gateway.tick(SendNotWritten(replacement.send, NotWrittenReason.NOT_NEEDED))
             .expectNoChangeOfSends()
@@ -270,7 +280,7 @@
         expectThat(after.all<EndStream>()).hasSize(1)
         expectThat(gateway.world.sends.size).isEqualTo(0)
         expectThat(gateway.world.backends.sumOf { it.inFlight }).isEqualTo(0)
-        expectThat(retryBudget.tryAcquire(gateway.nowMs, gateway.world.bounds, 1)).isNotNull()
+        expectThat(acquireRetry(MODEL)).isNotNull()
     }
 
     // Guards against dropping a complete answer, and asking for it again, because it arrives just
@@ -303,8 +313,7 @@
     fun `a call whose send breaks is resumed with the retry acquired for its replacement`() {
         val first = quietStream(1_500)
         val replacement = gateway.tick(SendStalled(first.send, 1_500)).only<StartSend>()
-        val retryBudget = gateway.world.service(MODEL).retryBudget
-        while (retryBudget.tryAcquire(gateway.nowMs, gateway.world.bounds, 1) != null) Unit
+        exhaustRetries(MODEL)
         val after = gateway.tick(
             broken(first),
             SendNotWritten(replacement.send, NotWrittenReason.NOT_NEEDED),
@@ -312,7 +321,7 @@
 
         expectThat(after.all<RefuseCall>()).isEmpty()
         expectThat(after.all<StartSend>()).hasSize(1)
-        expectThat(retryBudget.tryAcquire(gateway.nowMs, gateway.world.bounds, 1)).isNull()
+        expectThat(acquireRetry(MODEL)).isNull()
     }
 
     /** Returns the send that resumes a stream on [brief], which broke after its first event. */
@@ -392,10 +401,9 @@
     @Test
     fun `a retry that reached no server returns to the budget`() {
         val first = gateway.call(lookup).second.only<StartSend>()
-        val retryBudget = gateway.world.service(SHOP).retryBudget
         val retry = gateway.tick(SendEnded(first.send, SendOutcome.Answered(500), null))
             .only<StartSend>()
-        while (retryBudget.tryAcquire(gateway.nowMs, gateway.world.bounds, 1) != null) Unit
+        exhaustRetries(SHOP)
         val after = gateway.tick(SendNotWritten(retry.send, NotWrittenReason.CONNECT_FAILED))
 
         expectThat(after.all<StartSend>()).hasSize(1)
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestGateway.kt
@@ -91,11 +91,12 @@
     ),
 )
 
-/** One process under test, by default in the region north. */
+/** One process under test, by default in the region north and started a minute ago. */
 internal class TestGateway(
     seed: Int = 1,
     journal: Journal = NoJournal,
     self: PeerIdentity = identity("self", NORTH),
+    uptimeMs: Long = 60_000,
 ) {
     val world = GatewayWorld(
         self = self,
@@ -114,6 +115,11 @@
     )
     var nowMs = 1_000L
     private var nextCall = 0L
+
+    init {
+        world.process.startedMs = nowMs - uptimeMs
+    }
+
     private val scheduler = SchedulerOf(world, gatewaySystems(world.self), Random(seed), journal)
 
     /** Advances the clock by [afterMs], runs one tick with [events] and returns its commands. */
