Measure every window of retries by the calls around its start

What callers saw: BUDGET could break with paid retries alone, when processes start again, when callers move between processes, or when a burst of calls lasts about a window.

Cause: a process counted the calls of the window before now. Each process had another now, a process that started earned once more what an earlier one had spent, and the calls of a burst stood in a process's window whole while each window of the rule holds three quarters of them. A fraction of 0.85 was to cover that.

Change: a retry is granted if each window that it may arrive in has room, measured by the own calls from half a window before its start to half a window after it.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSystem.kt
@@ -76,7 +76,9 @@
         call.timeoutAtMs = arrivedMs + route.timeoutMs
         event.spec.budgetMs?.let { call.deadlineAtMs = arrivedMs + it }
         world.calls[call.id] = call
-        if (origin is CallOrigin.Caller) world.service(call.service).retryBudget.addCall(tick.nowMs)
+        if (origin is CallOrigin.Caller) {
+            world.service(call.service).retryBudget.addCall(tick.nowMs, world.bounds)
+        }
         placer.place(world, tick, call)
     }
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RetryBudget.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RetryBudget.kt
@@ -1,21 +1,23 @@
 /*
- * Limits the retries of one service by its calls and extra arrivals within a sliding window. All
- * entry VMs share the budget.
+ * Limits the retries of one service by its calls and extra arrivals within any sliding window. All
+ * entry VMs share the budget without asking each other: each keeps the bound for its own calls, and
+ * every window is measured by the calls around its start, so that the bounds of all processes,
+ * earlier ones of the same VM included, add up to that of the fleet.
  */
 package org.pomeloladder.gateway
 
-/**
- * Fraction of the allowed extra arrivals that is used, since the windows of different VMs are not
- * aligned.
- */
-private const val USED_FRACTION = 0.85
+/** Fraction of the bound that is used. The rest covers sends that are under way for long. */
+private const val USED_FRACTION = 0.95
 
 /**
- * Maximum time from the start of a send to its arrival: connecting to a peer in another region, and
- * from there to a server.
+ * Usual maximum time from the start of a send to its arrival: connecting to a peer in another region,
+ * and from there to a server.
  */
 internal const val MAX_ARRIVAL_DELAY_MS = 1_050L
 
+/** Distance between the starts of the windows that are checked. */
+private const val STEP_MS = 100L
+
 /** Permission for one send. */
 sealed interface SendPermit {
     /** The first send of a call needs no budget. */
@@ -30,8 +32,9 @@
     private val callTimes = ArrayDeque<Long>()
     private val extraTimes = ArrayDeque<Long>()
 
-    fun addCall(nowMs: Long) {
+    fun addCall(nowMs: Long, bounds: GatewayBounds) {
         callTimes.addLast(nowMs)
+        expire(nowMs, bounds)
     }
 
     /**
@@ -40,29 +43,55 @@
      */
     fun tryAcquire(nowMs: Long, bounds: GatewayBounds, slack: Double): SendPermit.Retry? {
         expire(nowMs, bounds)
-        val allowed =
-            USED_FRACTION * (bounds.retryRatio * callTimes.size + slack)
-        if (extraTimes.size + 1 > allowed) return null
+        var lastStartMs = nowMs + MAX_ARRIVAL_DELAY_MS
+        while (lastStartMs > nowMs - bounds.retryWindowMs) {
+            val firstStartMs = lastStartMs - STEP_MS
+            if (!isFree(firstStartMs, lastStartMs, bounds, slack)) return null
+            lastStartMs = firstStartMs
+        }
         extraTimes.addLast(nowMs)
         return SendPermit.Retry(nowMs)
     }
 
-    /** The extra arrivals within the window of [nowMs], for the log. */
-    fun extraArrivals(nowMs: Long, bounds: GatewayBounds): Int {
-        expire(nowMs, bounds)
-        return extraTimes.size
-    }
+    /** Returns the number of extra arrivals that count at [nowMs], for the log. */
+    fun extraArrivals(nowMs: Long, bounds: GatewayBounds): Int =
+        extraTimes.countSince(oldestExtraMs(nowMs, bounds))
 
     /** Returns [permit] to the budget, since its send reached no server. */
     fun refund(permit: SendPermit) {
         if (permit is SendPermit.Retry) extraTimes.remove(permit.takenMs)
     }
 
-    private fun expire(nowMs: Long, bounds: GatewayBounds) {
-        val windowStartMs = nowMs - bounds.retryWindowMs
-        while (callTimes.isNotEmpty() && callTimes.first() < windowStartMs) callTimes.removeFirst()
+    /** Whether each window that starts within the given span has room for one more arrival. */
+    private fun isFree(
+        firstStartMs: Long,
+        lastStartMs: Long,
+        bounds: GatewayBounds,
+        slack: Double,
+    ): Boolean {
+        val halfWindowMs = bounds.retryWindowMs / 2
         // What was sent before the window may arrive within it.
-        val sentSinceMs = windowStartMs - MAX_ARRIVAL_DELAY_MS
-        while (extraTimes.isNotEmpty() && extraTimes.first() < sentSinceMs) extraTimes.removeFirst()
+        val extras = extraTimes.countSince(firstStartMs - MAX_ARRIVAL_DELAY_MS)
+        val calls = callTimes.countSince(lastStartMs - halfWindowMs) -
+            callTimes.countSince(firstStartMs + halfWindowMs)
+        return extras + 1 <= USED_FRACTION * (bounds.retryRatio * maxOf(calls, 0) + slack)
+    }
+
+    private fun expire(nowMs: Long, bounds: GatewayBounds) {
+        val oldestCallMs = nowMs - bounds.retryWindowMs - bounds.retryWindowMs / 2 - STEP_MS
+        while (callTimes.isNotEmpty() && callTimes.first() < oldestCallMs) callTimes.removeFirst()
+        val oldestExtraMs = oldestExtraMs(nowMs, bounds)
+        while (extraTimes.isNotEmpty() && extraTimes.first() < oldestExtraMs) {
+            extraTimes.removeFirst()
+        }
+    }
+
+    private fun oldestExtraMs(nowMs: Long, bounds: GatewayBounds) =
+        nowMs - bounds.retryWindowMs - STEP_MS - MAX_ARRIVAL_DELAY_MS
+
+    /** Number of elements of this sorted list that are at least [timeMs]. */
+    private fun List<Long>.countSince(timeMs: Long): Int {
+        val position = binarySearch { if (it < timeMs) -1 else 1 }
+        return size - (-position - 1)
     }
 }
