Send a relayed call to the service that its first VM has chosen

What callers saw: on routes that are split by weight, a relayed call could be sent to another service than the one by whose load and budget it was placed: one service's budget paid for retries that the other one received.

Cause: the peer drew the service again; the envelope did not name it.

Change: the envelope names the service, and the peer uses it if the route still has it. The test fails without it (read: the draw is by weight).

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -330,6 +330,7 @@
             vm = peer.vm,
             address = peer.identity.relay,
             catalogVersion = world.catalog?.version ?: 0,
+            service = call.service,
         )
         val details = retryDetails(world, tick, call)
         issueSend(tick, call, send, target, PEER_CONNECT_TIMEOUT_MS, replaced, details)
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSpec.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSpec.kt
@@ -3,6 +3,7 @@
  */
 package org.pomeloladder.gateway
 
+import org.pomeloladder.configuration.ServiceId
 import org.pomeloladder.configuration.VmId
 import org.pomeloladder.decisions.RequestId
 
@@ -25,10 +26,11 @@
     data object Caller : CallOrigin
 
     /**
-     * Relayed by another entry VM. Such a call is served in this region or refused, never relayed
-     * again.
+     * Relayed by another entry VM, which has chosen [service] for it; null when an earlier version of
+     * the VM does not tell. Such a call is served in this region or refused, never relayed again.
      */
-    data class Peer(val vm: VmId, val catalogVersion: Long) : CallOrigin
+    data class Peer(val vm: VmId, val catalogVersion: Long, val service: ServiceId? = null) :
+        CallOrigin
 }
 
 /**
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSystem.kt
@@ -70,7 +70,7 @@
         val route = catalog.findRoute(event.spec.host, event.spec.path)
             ?: return refuse(tick, event, CallRefusal.NO_ROUTE)
         if (!canFinish(world, tick, route)) return refuse(tick, event, CallRefusal.DRAINING)
-        val service = chooseService(tick, route)
+        val service = relayedService(origin, route) ?: chooseService(tick, route)
             ?: return refuse(tick, event, CallRefusal.NO_BACKEND)
         val call = Call(event.call, event.spec, route, service, arrivedMs)
         call.timeoutAtMs = arrivedMs + route.timeoutMs
@@ -94,6 +94,12 @@
         return elapsedMs <= world.bounds.entryTtlMs || route.timeoutMs < availableMs
     }
 
+    /** Returns the service that a peer has chosen for its call, if [route] still has it. */
+    private fun relayedService(origin: CallOrigin, route: Route): ServiceId? =
+        (origin as? CallOrigin.Peer)?.service?.takeIf { chosen ->
+            route.targets.any { it.service == chosen }
+        }
+
     /** Returns a service of [route] by weight, or null if it has none. */
     private fun chooseService(tick: GatewayTick, route: Route): ServiceId? {
         if (route.targets.size == 1) return route.targets.single().service
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
@@ -6,6 +6,7 @@
 
 import org.pomeloladder.configuration.Address
 import org.pomeloladder.configuration.BackendServerId
+import org.pomeloladder.configuration.ServiceId
 import org.pomeloladder.configuration.VmId
 
 /** A command to the traffic thread. */
@@ -28,9 +29,13 @@
         val kvCopySource: Address? = null,
     ) : SendTarget
 
-    /** An entry VM of another region. */
-    data class Peer(val vm: VmId, override val address: Address, val catalogVersion: Long) :
-        SendTarget
+    /** An entry VM of another region, which is to use a server of [service]. */
+    data class Peer(
+        val vm: VmId,
+        override val address: Address,
+        val catalogVersion: Long,
+        val service: ServiceId? = null,
+    ) : SendTarget
 }
 
 /**
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -251,7 +251,11 @@
             else -> read.copy(
                 budgetMs = envelope.remainingMs,
                 resumeAfter = envelope.resumeAfter,
-                origin = CallOrigin.Peer(envelope.from, envelope.catalogVersion),
+                origin = CallOrigin.Peer(
+                    envelope.from,
+                    envelope.catalogVersion,
+                    envelope.service,
+                ),
             )
         }
         val call = CallId(++lastCall)
@@ -326,6 +330,7 @@
                     catalogVersion = target.catalogVersion,
                     remainingMs = command.remainingMs,
                     resumeAfter = exchange.lastEventId,
+                    service = target.service,
                 ),
             )
         }
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/Relay.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/Relay.kt
@@ -13,15 +13,17 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
+import org.pomeloladder.configuration.ServiceId
 import org.pomeloladder.configuration.VmId
 
-/** Origin, catalog version and remaining time of a relayed request. */
+/** Origin, catalog version, remaining time and service of a relayed request. */
 @Serializable
 data class RelayEnvelope(
     @SerialName("a") val from: VmId,
     @SerialName("b") val catalogVersion: Long,
     @SerialName("c") val remainingMs: Long,
     @SerialName("d") val resumeAfter: Long? = null,
+    @SerialName("e") val service: ServiceId? = null,
 )
 
 /** Reads and writes the headers of relayed calls. */
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/CallSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/CallSystemTest.kt
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.Test
 import org.pomeloladder.configuration.FailureDomainId
+import org.pomeloladder.configuration.VmId
 import strikt.api.expectThat
 import strikt.assertions.hasSize
 import strikt.assertions.isA
@@ -160,4 +161,16 @@
         // At the start the process does not know how many others share the limit.
         expectThat(atStart.all<StartSend>()).isEmpty()
     }
+
+    // Guards against retries that one service's budget pays for and another service receives.
+    @Test
+    fun `a relayed call is sent to the service that its peer has chosen`() {
+        val targets = listOf(WeightedService(SHOP, 50), WeightedService(MODEL, 50))
+        val split = route("split").copy(targets = targets)
+        gateway.publish(1, catalog(split), server("a", SHOP), server("b", MODEL))
+        val origin = CallOrigin.Peer(VmId("other"), catalogVersion = 1, service = MODEL)
+        val sent = List(20) { gateway.call(split, origin = origin).second.only<StartSend>().server }
+
+        expectThat(sent.distinct()).isEqualTo(listOf("b"))
+    }
 }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
@@ -264,7 +264,7 @@
         when (val target = start.target) {
             is SendTarget.Peer -> {
                 val peer = checkNotNull(byVm[target.vm])
-                val origin = CallOrigin.Peer(vm.identity.vm, target.catalogVersion)
+                val origin = CallOrigin.Peer(vm.identity.vm, target.catalogVersion, target.service)
                 val id = CallId(++nextCall)
                 deliver(vm, peer) {
                     peer.relays[id] = vm to start.send
