Give a process no share of the retry slack before it has heard of all its seeds

Cause: a process took its region's share as soon as it knew any VM, divided by the VMs that it knew: 15.0 at each of four VMs and 30.0 at the fifth, 90 of 60.

Change: until all seeds have been listed once, a process retries by the ratio of its own calls only. A region whose seeds are all on one side of a cut that lasts since a start is still divided wrongly; the head of the file says so.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
@@ -93,11 +93,14 @@
      */
     var membershipVersion = 0L
 
+    /** Number of other VMs in the fleet that were listed within the last minute. */
+    var knownVms = 0
+
     /** Number of other VMs of this region that were listed within the last hour. */
     var knownRegionVms = 0
 
-    /** Whether this process has heard of any other VM since its start. */
-    var hasMetVms = false
+    /** Whether this process has heard of all its seeds since its start, be it from other VMs. */
+    var hasMetSeeds = false
 
     /**
      * Whether callers and peers may send calls: a view has been applied and no shutdown has
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
@@ -141,8 +141,11 @@
         links.selectLinks(tick.nowMs) { vm ->
             world.peers[vm]?.let { tick.nowMs - it.lastHeardMs < MIN_TIMEOUT_MS } == true
         }
+        world.process.knownVms = links.knownVmCount
         world.process.knownRegionVms = links.regionVmCount
-        if (links.knownVmCount > 0) world.process.hasMetVms = true
+        if (!world.process.hasMetSeeds) {
+            world.process.hasMetSeeds = world.seeds.all { links.knowsAddress(it) }
+        }
         val localPeers = world.peers.count { isLocal(it) }
         val remotePeers = world.peers.count { !isLocal(it) && isLinked(it) }
         local.intervalMs =
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RegionLinks.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RegionLinks.kt
@@ -5,6 +5,7 @@
  */
 package org.pomeloladder.gateway
 
+import org.pomeloladder.configuration.Address
 import org.pomeloladder.configuration.VmId
 import org.pomeloladder.decisions.hashKey
 import org.pomeloladder.decisions.rendezvousScore
@@ -57,6 +58,9 @@
     var linkedVms: Set<VmId> = emptySet()
         private set
 
+    /** Whether a VM with the datagram address [gossip] was listed within the last minute. */
+    fun knowsAddress(gossip: Address) = knownVms.values.any { it.address.gossip == gossip }
+
     fun addAddress(other: PeerAddress, nowMs: Long) {
         if (other.vm == self.vm) return
         val row = knownVms.getOrPut(other.vm) { KnownVm(other) }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RetrySlack.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RetrySlack.kt
@@ -1,6 +1,7 @@
 /*
  * Divides the slack of the retry budgets among the entry VMs, which share it without asking each
- * other. The shares of all processes that run within one window add up to at most the whole.
+ * other. The shares of all processes that run within one window add up to at most the whole, as long
+ * as the seeds of a region that is cut in two at a start are not all on one side.
  */
 package org.pomeloladder.gateway
 
@@ -14,10 +15,8 @@
     val uptimeMs = nowMs - (process.startedMs ?: nowMs)
     // An earlier process of this VM may have used the share of the current window.
     if (uptimeMs < world.bounds.retryWindowMs + MAX_ARRIVAL_DELAY_MS) return 0.0
-    if (!process.hasMetVms && hasOtherSeeds(world)) return 0.0
+    // VMs that it has not heard of since its start may use their shares.
+    if (!process.hasMetSeeds) return 0.0
     val regions = world.regions.values.distinct().size.coerceAtLeast(1)
     return world.bounds.retrySlack / regions / (process.knownRegionVms + 1)
 }
-
-/** Whether the settings name other VMs, so that a process that knows none of them is cut off. */
-private fun hasOtherSeeds(world: GatewayWorld) = world.seeds.any { it != world.self.gossip }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/PeerSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/PeerSystemTest.kt
@@ -75,6 +75,7 @@
 
     @Test
     fun `readiness is announced at once, so that relays work soon after a simultaneous start`() {
+        val gateway = TestGateway(uptimeMs = 0)
         gateway.receiveGossip(near)
         val commands = gateway.publish(1, catalog(route("lookup")))
 
@@ -112,6 +113,7 @@
         // In 5 s at most 20 per second to this region and 8 per second to the others, and one more
         // to each peer at the ends.
         expectThat(sent).isLessThan(5 * 28 + 65)
+        expectThat(gateway.world.process.knownVms).isEqualTo(65)
         expectThat(gateway.world.process.knownRegionVms).isEqualTo(25)
     }
 }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/RetrySlackTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/RetrySlackTest.kt
@@ -32,22 +32,29 @@
         expectThat(share(gateway)).isGreaterThan(0.0)
     }
 
-    // Guards against VMs that start while they hear nobody and each take the share of a fleet of one.
+    // Guards against VMs that start while they hear nobody, or only a part of the fleet, and take the
+    // shares of the others too.
     @Test
-    fun `a process that has met none of its seeds has no share`() {
+    fun `a process has no share until it has heard of all its seeds`() {
+        val seeds = listOf(identity("near", NORTH), identity("other", SOUTH))
         val gateway = TestGateway()
-        gateway.world.seeds = listOf(identity("other", SOUTH).gossip)
+        gateway.world.seeds = seeds.map { it.gossip }
+        meet(gateway, emptyList())
         val alone = share(gateway)
-        meet(gateway, listOf(identity("other", SOUTH)))
+        meet(gateway, seeds.take(1))
+        val partly = share(gateway)
+        meet(gateway, seeds)
 
         expectThat(alone).isEqualTo(0.0)
+        expectThat(partly).isEqualTo(0.0)
         expectThat(share(gateway)).isGreaterThan(0.0)
     }
 
     @Test
     fun `a fleet of one process has a share`() {
         val gateway = TestGateway()
-        gateway.world.seeds = listOf(gateway.world.self.gossip)
+        gateway.world.seeds = emptyList()
+        meet(gateway, emptyList())
 
         expectThat(share(gateway)).isGreaterThan(0.0)
     }
