--- a/standins/src/main/kotlin/org/pomeloladder/standins/FaultProxy.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/FaultProxy.kt
@@ -179,7 +179,7 @@
     }
 }
 
-private fun daemonThread(name: String, run: () -> Unit) {
+internal fun daemonThread(name: String, run: () -> Unit) {
     thread(name = name, isDaemon = true) {
         try {
             run()
