Refuse a response head that contains another status line

A second answer to the earlier request was cut within its head on a kept connection. The decoder read that part and the head of the server's own answer as one: the status of the first, the headers of the second.

Each join leaves the status line of the second answer within the first head: in its reason phrase or in a header value. Within a status or a header name the decoder already fails. Such a head is no answer, so the send ends as broken.

--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/Headers.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/Headers.kt
@@ -1,11 +1,13 @@
 /*
- * Hop-by-hop headers, which apply to a single connection and are never forwarded.
+ * Hop-by-hop headers, which apply to a single connection and are never forwarded, and the check that
+ * a response head is that of a single response.
  */
 package org.pomeloladder.traffic
 
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
 
 private val HOP_BY_HOP_HEADERS = listOf<CharSequence>(
     HttpHeaderNames.CONNECTION,
@@ -37,4 +39,13 @@
     ?.firstOrNull { it.startsWith("timeout=", ignoreCase = true) }
     ?.substringAfter('=')?.trim()?.toLongOrNull()?.times(MS_PER_S)
 
+/**
+ * Whether the head of [response] contains the status line of another response. A server that breaks
+ * off within a head and then sends the next one makes the decoder read both as one.
+ */
+internal fun containsStatusLine(response: HttpResponse): Boolean =
+    STATUS_LINE_START.containsMatchIn(response.status().reasonPhrase()) ||
+        response.headers().any { STATUS_LINE_START.containsMatchIn(it.value) }
+
+private val STATUS_LINE_START = Regex("""HTTP/1\.\d \d{3}""")
 private const val MS_PER_S = 1_000L
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -264,6 +264,10 @@
             val reason = if (isCut) BreakReason.CONNECTION_LOST else BreakReason.NOT_HTTP
             return finish(SendOutcome.Broken(reason))
         }
+        if (containsStatusLine(message)) {
+            isReusable = false
+            return finish(SendOutcome.Broken(BreakReason.NOT_HTTP))
+        }
         if (message.status() == HttpResponseStatus.SWITCHING_PROTOCOLS) return abort()
         if (message.status().code() < FIRST_FINAL_STATUS) {
             active.hasBegun = false
