Close server connections with bytes that no response has used

The server had sent the start of a second answer in the same segment as its first. The decoder kept it, without a message that would show it, and the connection went back to the pool.

With the change the next request goes out on a new connection.

The codec of server connections tells whether it holds bytes after the message that it decoded last, and such a connection is closed like one that got a whole second answer. Netty's client codec is final and does not tell.

--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -124,6 +124,7 @@
 ) : ChannelInboundHandlerAdapter(),
     RawByteFilter {
     private lateinit var channel: Channel
+    private lateinit var codec: ServerCodec
     private var send: ActiveSend? = null
 
     /** Whether the connection has carried a request before the current one. */
@@ -157,6 +158,7 @@
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         channel = ctx.channel()
+        codec = ctx.pipeline().get(ServerCodec::class.java)
     }
 
     /** Writes the request of [active]. The connection must be idle. */
@@ -504,7 +506,7 @@
         val load = head?.load
         val active = detachSend() ?: return
         idleSinceNanos = System.nanoTime()
-        val isReused = isReusable && channel.isActive
+        val isReused = isReusable && channel.isActive && !codec.hasUndecodedBytes
         listener.onSendEnded(active, outcome, load, if (isReused) this else null)
         if (!isReused && channel.isActive) close()
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnectionPool.kt
@@ -11,7 +11,6 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
 import java.net.InetSocketAddress
 import jdk.net.ExtendedSocketOptions
 import org.pomeloladder.configuration.Address
@@ -45,9 +44,6 @@
 private const val KEEP_ALIVE_PROBE_COUNT = 2
 
 private const val NANOS_PER_MS = 1_000_000L
-private const val MAX_LINE_BYTES = 8_192
-private const val MAX_HEAD_BYTES = 65_536
-private const val MAX_CHUNK_BYTES = 65_536
 
 /** Returns a client bootstrap with the socket options that all outbound connections share. */
 internal fun clientBootstrap(
@@ -136,7 +132,7 @@
                 override fun initChannel(channel: Channel) {
                     channel.pipeline()
                         .addLast(RawByteCounter(connection))
-                        .addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
+                        .addLast(ServerCodec())
                         .addLast(connection)
                 }
             })
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/SecondAnswerTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/SecondAnswerTest.kt
@@ -7,6 +7,7 @@
 import org.pomeloladder.gateway.SendEnded
 import org.pomeloladder.gateway.SendOutcome
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 
@@ -66,6 +67,22 @@
         return traffic.await<SendEnded>().outcome == SendOutcome.Answered(200)
     }
 
+    // Guards against the same where the part arrives with the answer to the earlier request.
+    @Test
+    fun `a connection with a part of a head after a complete response is not reused`() {
+        send("r1")
+        val connection = server.accept()
+        connection.readHead()
+        connection.write(
+            "HTTP/1.1 200 OK\r\nid: r1\r\nsigned: 1\r\nkeep-alive: timeout=5\r\n" +
+                "content-length: 3\r\n\r\nownHTTP/1.1 200 OK\r\ndate: to",
+        )
+        expectThat(traffic.await<SendEnded>().outcome).isEqualTo(SendOutcome.Answered(200))
+
+        send("r2")
+        expectThat(server.accept().readHead()).contains("id: r2")
+    }
+
     private companion object {
         val FULL = SendOutcome.NotRun(NotRunReason.FULL)
     }
