Send a request again on another connection than before

Callers use the same id for their repeats, and the gateway for its own.

The pool leaves an idle connection that carried the request last to other requests. A second answer arrives where the next answer is expected, so the latest request is enough.

--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -304,7 +304,10 @@
             replaces = command.replaces,
         )
         sends[send.id] = send
-        pool.acquire(command.target, command.connectTimeoutMs) { onConnectResult(send, it) }
+        val request = exchange.spec.requestId
+        pool.acquire(command.target, request, command.connectTimeoutMs) {
+            onConnectResult(send, it)
+        }
     }
 
     private fun requestHeaders(command: StartSend, exchange: Exchange): HttpHeaders {
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import java.io.ByteArrayOutputStream
+import org.pomeloladder.decisions.RequestId
 import org.pomeloladder.gateway.BreakReason
 import org.pomeloladder.gateway.LoadReport
 import org.pomeloladder.gateway.NotRunReason
@@ -129,6 +130,10 @@
 
     /** Whether the connection has carried a request before the current one. */
     private var isKept = false
+
+    /** The latest request, to which the server may send another response later. */
+    var lastRequest: RequestId? = null
+        private set
     private var response: HttpResponse? = null
     private var head: ResponseHead? = null
     private var isSkippingForeign = false
@@ -165,6 +170,7 @@
     fun start(active: ActiveSend) {
         check(send == null) { "the connection already carries a request" }
         send = active
+        lastRequest = active.exchange.spec.requestId
         active.requestNanos = System.nanoTime()
         active.lastProgressNanos = active.requestNanos
         bytesSinceProgress = 0
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnectionPool.kt
@@ -15,6 +15,7 @@
 import jdk.net.ExtendedSocketOptions
 import org.pomeloladder.configuration.Address
 import org.pomeloladder.configuration.BackendServerId
+import org.pomeloladder.decisions.RequestId
 import org.pomeloladder.gateway.SendTarget
 
 /** Safety margin below the server's keep-alive timeout: its close must not race with a request. */
@@ -87,11 +88,16 @@
     private val addressPools = HashMap<Address, AddressPool>()
     private val serverAddresses = HashMap<BackendServerId, Address>()
 
-    /** Passes an idle connection to [target], or else a new one, to [onResult]. */
-    fun acquire(target: SendTarget, connectTimeoutMs: Long, onResult: (ConnectResult) -> Unit) {
+    /** Passes an idle connection to [target] for [request], or else a new one, to [onResult]. */
+    fun acquire(
+        target: SendTarget,
+        request: RequestId,
+        connectTimeoutMs: Long,
+        onResult: (ConnectResult) -> Unit,
+    ) {
         val addressPool = addressPools.getOrPut(target.address) { AddressPool() }
         if (target is SendTarget.Server) serverAddresses[target.id] = target.address
-        val reusable = takeIdle(addressPool, target)
+        val reusable = takeIdle(addressPool, target, request)
         if (reusable != null) return onResult(ConnectResult.Connected(reusable))
         if (target is SendTarget.Server && addressPool.openCount >= target.maxConnections) {
             return onResult(ConnectResult.LimitReached)
@@ -99,10 +105,20 @@
         openConnection(addressPool, target, connectTimeoutMs, onResult)
     }
 
-    private fun takeIdle(addressPool: AddressPool, target: SendTarget): ServerConnection? {
+    /**
+     * A connection that carried [request] last is left to other requests: a late repetition of the
+     * response could not be told from the response to this send.
+     */
+    private fun takeIdle(
+        addressPool: AddressPool,
+        target: SendTarget,
+        request: RequestId,
+    ): ServerConnection? {
         val nowNanos = System.nanoTime()
         while (true) {
-            val connection = addressPool.idle.removeLastOrNull() ?: return null
+            val index = addressPool.idle.indexOfLast { it.lastRequest != request }
+            if (index < 0) return null
+            val connection = addressPool.idle.removeAt(index)
             val idleMs = (nowNanos - connection.idleSinceNanos) / NANOS_PER_MS
             if (connection.isOpen && idleMs < maxIdleMs(target, connection)) return connection
             connection.close()
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/SecondAnswerTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/SecondAnswerTest.kt
@@ -83,6 +83,18 @@
         expectThat(server.accept().readHead()).contains("id: r2")
     }
 
+    // Guards against a refusal of a request that runs: the server repeats its rejection of the
+    // first send, and the second has the same id (REFUSED, TWICE).
+    @Test
+    fun `a request that is sent again does not use the connection that carried it before`() {
+        val before = connectionAfterRejection("r1")
+        send("r1")
+        expectThat(server.accept().readHead()).contains("id: r1")
+
+        send("r2")
+        expectThat(before.readHead()).contains("id: r2")
+    }
+
     private companion object {
         val FULL = SendOutcome.NotRun(NotRunReason.FULL)
     }
