--- a/standins/src/main/kotlin/org/pomeloladder/standins/StutteringServerStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/StutteringServerStandIn.kt
@@ -175,13 +175,14 @@
                 output.write(AnswerText.LAST_CHUNK.toByteArray() + after)
             }
 
-        private fun endBadly(first: FirstAnswer, end: FirstEnd) {
+        /** Second answers don't get between the bytes and the end: nobody could tell them apart. */
+        private fun endBadly(first: FirstAnswer, end: FirstEnd) = synchronized(output) {
             val isUnframed = end == FirstEnd.UNFRAMED || end == FirstEnd.UNFRAMED_RESET
             val text = first.text(if (isUnframed) Framing.NONE else Framing.LENGTH)
             val bytes = text.toByteArray()
             val isWhole = end == FirstEnd.WHOLE || end == FirstEnd.UNFRAMED
             write(if (isWhole) bytes else bytes.copyOf(bytes.size - first.body.length / 2 - 1))
-            if (end == FirstEnd.WHOLE) return
+            if (end == FirstEnd.WHOLE) return@synchronized
             if (end == FirstEnd.RESET || end == FirstEnd.UNFRAMED_RESET) {
                 // A reset discards what the other side has not read yet.
                 Thread.sleep(EVENT_INTERVAL_MS)
