--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import java.io.ByteArrayOutputStream
+import org.pomeloladder.decisions.RequestId
 import org.pomeloladder.gateway.BreakReason
 import org.pomeloladder.gateway.LoadReport
 import org.pomeloladder.gateway.NotRunReason
@@ -124,10 +125,15 @@
 ) : ChannelInboundHandlerAdapter(),
     RawByteFilter {
     private lateinit var channel: Channel
+    private lateinit var codec: ServerCodec
     private var send: ActiveSend? = null
 
     /** Whether the connection has carried a request before the current one. */
     private var isKept = false
+
+    /** The latest request, to which the server may send another response later. */
+    var lastRequest: RequestId? = null
+        private set
     private var response: HttpResponse? = null
     private var head: ResponseHead? = null
     private var isSkippingForeign = false
@@ -157,12 +163,14 @@
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         channel = ctx.channel()
+        codec = ctx.pipeline().get(ServerCodec::class.java)
     }
 
     /** Writes the request of [active]. The connection must be idle. */
     fun start(active: ActiveSend) {
         check(send == null) { "the connection already carries a request" }
         send = active
+        lastRequest = active.exchange.spec.requestId
         active.requestNanos = System.nanoTime()
         active.lastProgressNanos = active.requestNanos
         bytesSinceProgress = 0
@@ -264,6 +272,10 @@
             val reason = if (isCut) BreakReason.CONNECTION_LOST else BreakReason.NOT_HTTP
             return finish(SendOutcome.Broken(reason))
         }
+        if (containsStatusLine(message)) {
+            isReusable = false
+            return finish(SendOutcome.Broken(BreakReason.NOT_HTTP))
+        }
         if (message.status() == HttpResponseStatus.SWITCHING_PROTOCOLS) return abort()
         if (message.status().code() < FIRST_FINAL_STATUS) {
             active.hasBegun = false
@@ -500,7 +512,7 @@
         val load = head?.load
         val active = detachSend() ?: return
         idleSinceNanos = System.nanoTime()
-        val isReused = isReusable && channel.isActive
+        val isReused = isReusable && channel.isActive && !codec.hasUndecodedBytes
         listener.onSendEnded(active, outcome, load, if (isReused) this else null)
         if (!isReused && channel.isActive) close()
     }
