--- a/bench/src/test/kotlin/org/pomeloladder/bench/GatewayProcess.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewayProcess.kt
@@ -22,12 +22,17 @@
     val firstPeer = freeAddress().port
 }
 
-/** The process of the VM with the address `127.0.0.[number]` in [region]. */
+/**
+ * The process of the VM with the address `127.0.0.[number]` in [region]. [seedNumbers] are the
+ * numbers of its seeds.
+ */
 internal class GatewayProcess(
     private val number: Int,
     private val region: String,
     private val ports: GatewayPorts,
     private val store: Address,
+    private val retryBounds: RetryBounds = RetryBounds(),
+    private val seedNumbers: List<Int> = listOf(2, 3),
 ) : AutoCloseable {
     private val directory = File.createTempFile("gateway-", "").apply {
         delete()
@@ -129,12 +134,12 @@
         directory: "$host:${ports.directory}"
         metricsPort: ${ports.metrics}
         peerPorts: {first: ${ports.firstPeer}, last: ${ports.firstPeer + 3}}
-        seeds: ["127.0.0.2:1", "127.0.0.3:1"]
+        seeds: [${seedNumbers.joinToString { "\"127.0.0.$it:1\"" }}]
         platform: "$store"
         bounds:
-          retryRatio: 0.2
-          retryWindowS: 10
-          retrySlack: 56
+          retryRatio: ${retryBounds.ratio}
+          retryWindowS: ${retryBounds.windowMs / MS_PER_S}
+          retrySlack: ${retryBounds.slack}
           coldOverage: 1.5
           coldSlack: 3
           drainMs: 4000
@@ -144,5 +149,6 @@
 
     private companion object {
         const val OK = 200
+        const val MS_PER_S = 1_000.0
     }
 }
