Let the soak's servers reject requests and judge retries per service

Change: a separate generator draws servers that reject a share with 503 or 429, bursts of callers that come back at once, and VMs that start again in series. RetryBudgetAudit judges all arrivals of each service. Callers compare each response with what its server gave and report bytes that are no response. -Dsoak.vms sets the number of VMs.

--- a/bench/src/test/kotlin/org/pomeloladder/bench/GatewaySoakTest.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewaySoakTest.kt
@@ -2,9 +2,11 @@
  * Randomized soak test: runs real gateway processes under series of overlapping external faults.
  * Using only what callers and backend servers observe, it checks that non-idempotent requests run
  * at most once, refused requests never ran, responses are complete and belong to their request,
- * streams have no gaps, processes do not exit on their own, and service recovers after the faults.
+ * streams have no gaps, no service gets more retries than allowed, processes do not exit on their
+ * own, and service recovers after the faults.
  *
- * `-Dsoak.seeds=5,9` or `-Dsoak.seeds=10-60` sets the seeds, `-Dsoak.ms=15000` their duration.
+ * `-Dsoak.seeds=5,9` or `-Dsoak.seeds=10-60` sets the seeds, `-Dsoak.ms=15000` their duration and
+ * `-Dsoak.vms=16` the number of VMs.
  */
 package org.pomeloladder.bench
 
@@ -32,12 +34,13 @@
         val durationMs = System.getProperty("soak.ms")?.toLong() ?: CI_DURATION_MS
         SoakCluster().use { cluster ->
             cluster.start()
-            val faults = SoakFaults(cluster, seed)
             val callers = SoakCallers(cluster, seed)
+            val faults = SoakFaults(cluster, callers, seed)
             faults.run(durationMs)
             faults.endAll()
-            awaitService(cluster)
+            awaitService(cluster, callers)
             callers.stop()
+            checkRetries(cluster, callers)
             if (cluster.violations.isNotEmpty()) report(seed, cluster, faults)
 
             expectThat(cluster.violations).isEmpty()
@@ -46,25 +49,31 @@
     }
 
     /** Records a violation for each VM that does not serve again within the recovery bound. */
-    private fun awaitService(cluster: SoakCluster) {
+    private fun awaitService(cluster: SoakCluster, callers: SoakCallers) {
         val untilNanos = System.nanoTime() + RECOVERY_MS * NANOS_PER_MS
         val waiting = cluster.vms.toMutableList()
         while (waiting.isNotEmpty() && System.nanoTime() < untilNanos) {
-            waiting.removeAll { isServing(it) }
+            waiting.removeAll { isServing(it, callers) }
             Thread.sleep(POLL_MS)
         }
         waiting.forEach { cluster.violations += "${it.process.callers} does not serve again" }
     }
 
-    private fun isServing(vm: SoakVm): Boolean = try {
+    private fun isServing(vm: SoakVm, callers: SoakCallers): Boolean = try {
         val address = vm.process.callers
-        SoakConnection(address.host, address.port).use {
-            it.call("check-${System.nanoTime()}", "/look/x").status == OK
-        }
+        SoakConnection(address.host, address.port).use { callers.call(it, "look").status == OK }
     } catch (_: java.io.IOException) {
         false
     }
 
+    /** Records a violation for each service that got too many retries in some window. */
+    private fun checkRetries(cluster: SoakCluster, callers: SoakCallers) {
+        callers.worstWindows().forEach { (service, window) ->
+            println("$service: $window")
+            if (window.isExceeded) cluster.violations += "$service got too many retries: $window"
+        }
+    }
+
     /** Writes the violations, the faults and all logs of a failed run to files. */
     private fun report(seed: Long, cluster: SoakCluster, faults: SoakFaults) {
         val directory = File("target/soak/seed-$seed").apply { mkdirs() }
--- a/bench/src/test/kotlin/org/pomeloladder/bench/SoakCallers.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/SoakCallers.kt
@@ -1,6 +1,7 @@
 /*
  * The callers of the soak. They reuse a connection until it closes and check every response against
- * the guarantees that the platform documents.
+ * the guarantees that the platform documents and against what the backend servers sent. In a burst,
+ * more callers come, and repeat refused requests immediately, each time on a new connection.
  */
 package org.pomeloladder.bench
 
@@ -9,6 +10,7 @@
 import java.net.InetSocketAddress
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 import kotlin.random.Random
@@ -22,6 +24,9 @@
     val isComplete: Boolean,
 )
 
+/** Bytes from an entry VM that are not a response to the request. */
+internal class MalformedResponse(message: String) : Exception(message)
+
 /** A keep-alive connection to an entry VM. */
 internal class SoakConnection(host: String, port: Int) : AutoCloseable {
     private val socket = Socket().apply {
@@ -33,20 +38,20 @@
 
     /** Sends one request and reads its response. */
     fun call(id: String, path: String): SoakAnswer {
+        if (input.available() > 0) throw MalformedResponse("response before the request $id")
         val request = "POST $path HTTP/1.1\r\nHost: shop.example\r\n" +
             "X-Pomeloladder-Request-Id: $id\r\nX-Pomeloladder-Deadline-Ms: $DEADLINE_MS\r\n" +
             "Content-Length: ${BODY.length}\r\n\r\n$BODY"
         socket.getOutputStream().write(request.toByteArray())
-        val status = readTextLine().split(' ').getOrNull(1)?.toIntOrNull()
-            ?: return SoakAnswer(0, emptyMap(), "", isComplete = false)
-        val headers = generateSequence { readTextLine().ifEmpty { null } }
-            .associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
+        val status = readStatus(id)
+        val headers = readHeaders()
         val body = StringBuilder()
         val isComplete = try {
-            if ("chunked" in headers["transfer-encoding"].orEmpty()) {
-                readChunks(body)
-            } else {
-                read(headers["content-length"]?.toIntOrNull() ?: 0, body)
+            val length = headers["content-length"]
+            when {
+                "chunked" in headers["transfer-encoding"].orEmpty() -> readChunks(id, body)
+                length != null -> read(length.toInt(), body)
+                else -> read(Int.MAX_VALUE, body).let { true }
             }
         } catch (_: IOException) {
             false
@@ -54,6 +59,20 @@
         return SoakAnswer(status, headers, body.toString(), isComplete)
     }
 
+    private fun readStatus(id: String): Int {
+        while (true) {
+            val line = readTextLine()
+            val status = STATUS_LINE.matchEntire(line)?.groupValues?.get(1)?.toInt()
+                ?: throw MalformedResponse("$id got the status line '$line'")
+            if (status !in INFORMATIONAL_STATUSES) return status
+            readHeaders()
+        }
+    }
+
+    private fun readHeaders(): Map<String, String> =
+        generateSequence { readTextLine().ifEmpty { null } }
+            .associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
+
     override fun close() = socket.close()
 
     private fun readTextLine(): String {
@@ -72,9 +91,11 @@
         return bytes.size == length
     }
 
-    private fun readChunks(body: StringBuilder): Boolean {
+    private fun readChunks(id: String, body: StringBuilder): Boolean {
         while (true) {
-            val size = readTextLine().toInt(HEX)
+            val line = readTextLine()
+            val size = line.toIntOrNull(HEX)
+                ?: throw MalformedResponse("$id got the chunk size '$line'")
             if (!read(size, body)) return false
             readTextLine()
             if (size == 0) return true
@@ -87,24 +108,40 @@
         const val READ_TIMEOUT_MS = 15_000
         const val DEADLINE_MS = 8_000
         const val BODY = "order"
+        val STATUS_LINE = Regex("HTTP/1\\.1 (\\d{3})( .*)?")
+        val INFORMATIONAL_STATUSES = 100..199
     }
 }
 
 /** Threads that send requests until [stop]. */
-internal class SoakCallers(private val cluster: SoakCluster, seed: Long) {
+internal class SoakCallers(private val cluster: SoakCluster, private val seed: Long) {
     private val statuses = ConcurrentHashMap<String, Int>()
+    private val requestTimesMs = ConcurrentHashMap<String, ConcurrentLinkedQueue<Long>>()
     private val nextId = AtomicInteger()
+    private val nextCaller = AtomicInteger()
 
     @Volatile
     private var isRunning = true
-    private val threads = List(CALLERS) { index ->
-        thread(name = "soak-caller-$index") { run(Random(seed * CALLERS + index)) }
+    private val threads = ConcurrentLinkedQueue<Thread>()
+
+    init {
+        repeat(CALLERS) { start { random -> run(random, isPatient = true) { isRunning } } }
     }
 
     /** The number of calls that completed with status 200. */
     val successCount: Int
         get() = statuses.values.count { it == OK }
 
+    /** Adds [callers] for [forMs] that neither pause nor wait before they repeat a request. */
+    fun burst(callers: Int, forMs: Long) {
+        val untilNanos = System.nanoTime() + forMs * NANOS_PER_MS
+        repeat(callers) {
+            start { random ->
+                run(random, isPatient = false) { isRunning && System.nanoTime() < untilNanos }
+            }
+        }
+    }
+
     /** Waits for in-flight calls, then checks the run counts, which are final only then. */
     fun stop() {
         isRunning = false
@@ -118,53 +155,99 @@
         }
     }
 
-    private fun run(random: Random) {
-        while (isRunning) {
+    /** Returns the window of each service in which its retries come closest to their bound. */
+    fun worstWindows(): Map<String, RetryWindow> = requestTimesMs.mapNotNull { (service, timesMs) ->
+        val arrivals = cluster.servers.filter { it.service == service }
+            .flatMap { it.standIn.arrivals }
+        RetryBudgetAudit(timesMs, arrivals).worstWindow()?.let { service to it }
+    }.toMap()
+
+    /** Sends a request on [route] over [connection] and checks its response. */
+    fun call(connection: SoakConnection, route: String): SoakAnswer {
+        val id = "$route-${nextId.incrementAndGet()}"
+        val service = cluster.serviceOfRoute.getValue(route)
+        requestTimesMs.computeIfAbsent(service) { ConcurrentLinkedQueue() } +=
+            RouteServerStandIn.monotonicMs()
+        val answer = connection.call(id, "/$route/x")
+        statuses[id] = if (answer.isComplete) answer.status else 0
+        checkResponse(id, route, answer)
+        return answer
+    }
+
+    private fun start(run: (Random) -> Unit) {
+        val index = nextCaller.getAndIncrement()
+        threads += thread(name = "soak-caller-$index") { run(Random(seed * CALLERS + index)) }
+    }
+
+    private fun run(random: Random, isPatient: Boolean, isActive: () -> Boolean) {
+        while (isActive()) {
             val vm = cluster.vms[random.nextInt(cluster.vms.size)]
             val address = vm.process.callers
             try {
-                SoakConnection(address.host, address.port).use { useUntilClosed(it, random) }
+                SoakConnection(address.host, address.port).use { connection ->
+                    var isReusable = true
+                    while (isReusable && isActive()) {
+                        isReusable = callNext(connection, random, isPatient)
+                    }
+                }
+            } catch (e: MalformedResponse) {
+                cluster.violations += checkNotNull(e.message)
             } catch (_: IOException) {
-                Thread.sleep(RECONNECT_MS)
+                Thread.sleep(if (isPatient) RECONNECT_MS else IMPATIENT_RECONNECT_MS)
             }
         }
     }
 
-    private fun useUntilClosed(connection: SoakConnection, random: Random) {
-        var isReusable = true
-        while (isRunning && isReusable) isReusable = call(connection, random)
-    }
-
-    private fun call(connection: SoakConnection, random: Random): Boolean {
-        val route = ROUTES[random.nextInt(ROUTES.size)]
-        val id = "$route-${nextId.incrementAndGet()}"
-        val answer = connection.call(id, "/$route/x")
-        statuses[id] = if (answer.isComplete) answer.status else 0
-        if (answer.status == OK && answer.isComplete) checkResponse(id, route, answer)
-        if (answer.status == NOT_FOUND) cluster.violations += "$id got status 404"
-        Thread.sleep(random.nextLong(MAX_PAUSE_MS))
-        return answer.isComplete && answer.headers["connection"] != "close"
+    /** Sends a request on a random route and returns whether the connection may be used again. */
+    private fun callNext(connection: SoakConnection, random: Random, isPatient: Boolean): Boolean {
+        val answer = call(connection, ROUTES[random.nextInt(ROUTES.size)])
+        if (isPatient) Thread.sleep(random.nextLong(MAX_PAUSE_MS))
+        val isRepeated = !isPatient && answer.status in NOT_RUN_STATUSES
+        return answer.isComplete && answer.headers["connection"] != "close" && !isRepeated
     }
 
     private fun checkResponse(id: String, route: String, answer: SoakAnswer) {
-        if (answer.headers["x-pomeloladder-request-id"] != id) {
-            cluster.violations += "$id got the response of another request: ${answer.headers}"
+        val headers = answer.headers
+        if (answer.status == NOT_FOUND) cluster.violations += "$id got status 404"
+        if ((headers["x-pomeloladder-request-id"] ?: id) != id) {
+            cluster.violations += "$id got the response of another request: $headers"
+        }
+        val stamp = headers["x-pomeloladder-server-stamp"]
+        if (stamp == null) {
+            if (answer.status in SUCCESS_STATUSES) {
+                cluster.violations += "$id got ${answer.status} without a stamp: $headers"
+            }
+            return
+        }
+        val instance = stamp.removePrefix("stamp-")
+        val server = cluster.servers.find { it.standIn.instance == instance }
+        if (server == null || !server.standIn.gave(id, answer.status)) {
+            cluster.violations += "$id got ${answer.status}, which $stamp did not give: $headers"
         }
-        val expected = if (route == "stream") {
-            (1..RouteServerStandIn.STREAM_EVENTS)
-                .joinToString("") { RouteServerStandIn.event(it, id) }
-        } else {
-            answer.body.substringBefore(" to ") + " to $id"
+        val body = expectedBody(id, route, instance, answer.status)
+        if (answer.isComplete && answer.body != body) {
+            cluster.violations += "$id got a wrong body with ${answer.status}: ${answer.body}"
         }
-        if (answer.body != expected) cluster.violations += "$id got a wrong body: ${answer.body}"
+    }
+
+    private fun expectedBody(id: String, route: String, instance: String, status: Int) = when {
+        status == FAILURE -> "failure of $instance"
+        status != OK -> ""
+        route != "stream" -> "answer of $instance to $id"
+        else -> (1..RouteServerStandIn.STREAM_EVENTS)
+            .joinToString("") { RouteServerStandIn.event(it, id) }
     }
 
     private companion object {
         const val CALLERS = 16
         const val OK = 200
         const val NOT_FOUND = 404
+        const val FAILURE = 500
         const val MAX_PAUSE_MS = 30L
         const val RECONNECT_MS = 50L
+        const val IMPATIENT_RECONNECT_MS = 5L
+        const val NANOS_PER_MS = 1_000_000L
+        val SUCCESS_STATUSES = 200..299
         val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
         val ROUTES = listOf("pay", "look", "look", "stream")
     }
--- a/bench/src/test/kotlin/org/pomeloladder/bench/SoakCluster.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/SoakCluster.kt
@@ -53,7 +53,7 @@
         publishConfig(INITIAL_TIMEOUT_MS)
         vms = List(VM_COUNT) { index ->
             val proxy = FaultProxy(store.address).apply { start() }
-            val region = if (index < NORTH_VM_COUNT) "north" else "south"
+            val region = if (index * REGIONS < VM_COUNT) "north" else "south"
             SoakVm(GatewayProcess(index + FIRST_HOST_NUMBER, region, ports, proxy.address), proxy)
         }
         vms.forEach { it.process.start() }
@@ -90,6 +90,9 @@
         """"TimeoutMs":$timeoutMs,"SloMs":500,"GapAimMs":500,"Priority":1,""" +
         """"Service":"$service","Attempts":$attempts,"CanResume":$canResume}"""
 
+    /** The service of each route. */
+    val serviceOfRoute = mapOf("pay" to "shop", "look" to "shop", "stream" to "model")
+
     /** Returns how often the backend servers ran the request [id] in total. */
     fun runsOf(id: String): Int = servers.sumOf { it.standIn.runs[id]?.get() ?: 0 }
 
@@ -112,8 +115,8 @@
     }
 
     companion object {
-        private const val VM_COUNT = 5
-        private const val NORTH_VM_COUNT = 3
+        private val VM_COUNT = Integer.getInteger("soak.vms", 5)
+        private const val REGIONS = 2
 
         /** The stand-ins listen on 127.0.0.1. */
         private const val FIRST_HOST_NUMBER = 2
--- a/bench/src/test/kotlin/org/pomeloladder/bench/SoakFaults.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/SoakFaults.kt
@@ -4,6 +4,7 @@
  */
 package org.pomeloladder.bench
 
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
@@ -11,19 +12,27 @@
 import org.pomeloladder.standins.Direction
 import org.pomeloladder.standins.Fault
 import org.pomeloladder.standins.FaultProxy
+import org.pomeloladder.standins.Rejection
 import org.pomeloladder.standins.ServerMode
 
 /** Injects faults drawn from a seed into [cluster] and records each in [history]. */
-internal class SoakFaults(private val cluster: SoakCluster, seed: Long) {
+internal class SoakFaults(
+    private val cluster: SoakCluster,
+    private val callers: SoakCallers,
+    seed: Long,
+) {
     private val random = Random(seed)
 
     /** A separate generator for newer kinds of faults, so that older seeds draw the same series. */
     private val laterKinds = Random(seed xor LATER_KINDS_SEED_MASK)
+
+    /** Likewise for the faults that make retries likely. */
+    private val retryKinds = Random(seed xor RETRY_KINDS_SEED_MASK)
     private val scheduler = Executors.newScheduledThreadPool(FAULT_THREADS)
     private val startedNanos = System.nanoTime()
 
     /** The injected faults with their times, for the report of a failed run. */
-    val history = ArrayList<String>()
+    val history = ConcurrentLinkedQueue<String>()
 
     /** Injects one fault after another for [durationMs]. */
     fun run(durationMs: Long) {
@@ -32,6 +41,7 @@
             Thread.sleep(random.nextLong(MIN_GAP_MS, MAX_GAP_MS))
             inject()
             if (laterKinds.nextInt(LATER_KINDS_INTERVAL) == 0) injectLaterKind()
+            if (retryKinds.nextInt(RETRY_KINDS_INTERVAL) == 0) injectRetryKind()
         }
     }
 
@@ -43,6 +53,7 @@
         cluster.servers.forEach {
             it.proxy.heal()
             it.standIn.mode = ServerMode.SOUND
+            it.standIn.rejection = null
             cluster.store.put(it.key, it.entry())
         }
         for (vm in cluster.vms) {
@@ -125,6 +136,57 @@
         }
     }
 
+    private fun injectRetryKind() {
+        val forMs = retryKinds.nextLong(MIN_RETRY_FAULT_MS, MAX_RETRY_FAULT_MS)
+        val service = cluster.servers[retryKinds.nextInt(cluster.servers.size)].service
+        val ofService = cluster.servers.filter { it.service == service }.shuffled(retryKinds)
+        when (retryKinds.nextInt(RETRY_KINDS_COUNT)) {
+            0 -> reject(ofService.take(1), forMs)
+            1 -> reject(ofService.take((ofService.size + 1) / 2), forMs)
+            2 -> reject(cluster.servers, forMs)
+            3 -> burst(forMs)
+            4 -> restartInSeries(forMs)
+            else -> {
+                reject(cluster.servers, forMs)
+                burst(forMs)
+                restartInSeries(forMs)
+            }
+        }
+    }
+
+    private fun reject(servers: List<SoakServer>, forMs: Long) {
+        val share = retryKinds.nextDouble(MIN_REJECTED_SHARE, 1.0)
+        val rejection = Rejection(share, REJECTED_STATUSES.random(retryKinds))
+        record("$rejection at ${servers.map { it.key }} for $forMs ms") {
+            servers.forEach { it.standIn.rejection = rejection }
+        }
+        runAfter(forMs) { servers.forEach { it.standIn.rejection = null } }
+    }
+
+    private fun burst(forMs: Long) {
+        val count = retryKinds.nextInt(MIN_BURST_CALLERS, MAX_BURST_CALLERS)
+        record("burst of $count callers for $forMs ms") { callers.burst(count, forMs) }
+    }
+
+    /** Restarts a drawn number of VMs again and again, each after a gap of its own, for [forMs]. */
+    private fun restartInSeries(forMs: Long) {
+        val up = cluster.vms.filter { !it.isDown }.shuffled(retryKinds)
+        val restarted = up.take(retryKinds.nextInt(up.size + 1))
+        for (vm in restarted) {
+            vm.isDown = true
+            val gapMs = retryKinds.nextLong(MIN_RESTART_GAP_MS, MAX_RESTART_GAP_MS)
+            for (atMs in 0 until forMs step gapMs) {
+                runAfter(atMs) { killAndStart(vm, isLast = atMs + gapMs >= forMs) }
+            }
+        }
+    }
+
+    private fun killAndStart(vm: SoakVm, isLast: Boolean) = synchronized(vm) {
+        record("KILL to ${vm.process.callers.host} and start") { vm.process.signal("KILL") }
+        restart(vm)
+        vm.isDown = !isLast
+    }
+
     private fun stop(vm: SoakVm, signal: String, forMs: Long) {
         // At least two processes stay up, so that callers and peers always reach one.
         if (vm.isDown || cluster.vms.count { !it.isDown } <= MIN_RUNNING_VMS) return
@@ -190,11 +252,22 @@
 
     private companion object {
         const val NANOS_PER_MS = 1_000_000L
-        const val FAULT_THREADS = 4
+        const val FAULT_THREADS = 8
         const val FAULT_KINDS = 11
         const val LATER_KINDS_SEED_MASK = 0x5eedL
         const val LATER_KINDS_COUNT = 6
         const val LATER_KINDS_INTERVAL = 3
+        const val RETRY_KINDS_SEED_MASK = 0x7e7215L
+        const val RETRY_KINDS_COUNT = 6
+        const val RETRY_KINDS_INTERVAL = 3
+        const val MIN_RETRY_FAULT_MS = 1_000L
+        const val MAX_RETRY_FAULT_MS = 8_000L
+        const val MIN_REJECTED_SHARE = 0.2
+        val REJECTED_STATUSES = listOf(503, 429)
+        const val MIN_BURST_CALLERS = 8
+        const val MAX_BURST_CALLERS = 48
+        const val MIN_RESTART_GAP_MS = 1_500L
+        const val MAX_RESTART_GAP_MS = 4_000L
         const val SIGNALS = 5
         const val MAX_SIGNAL_GAP_MS = 400L
         val FLOODS = listOf(
--- a/standins/src/main/kotlin/org/pomeloladder/standins/RouteServerStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/RouteServerStandIn.kt
@@ -1,7 +1,8 @@
 /*
  * A simulated backend server of the users' platform. It records the arrival of each request, counts
- * how often it processes each, stamps its responses with its id and streams events. It can be set to
- * reject requests as full, to fail, or to cut off a response part-way.
+ * how often it processes each and the statuses it gave, stamps its responses with its id and streams
+ * events. It can be set to reject all requests or a share of them, to fail, or to cut off a response
+ * part-way.
  */
 package org.pomeloladder.standins
 
@@ -10,6 +11,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
 import org.http4k.core.Body
 import org.http4k.core.HttpHandler
 import org.http4k.core.Request
@@ -32,6 +34,9 @@
  */
 enum class ServerMode { SOUND, FULL, FAILING, BREAKING }
 
+/** Rejects a request with [status], without processing it, with the probability [share]. */
+data class Rejection(val share: Double, val status: Int)
+
 /** The arrival of a request at a server, by the system's monotonic clock. */
 class Arrival(val requestId: String, val atMs: Long)
 
@@ -47,9 +52,15 @@
     /** All arrivals so far, including those that the server rejected. */
     val arrivals = ConcurrentLinkedQueue<Arrival>()
 
+    private val givenStatuses = ConcurrentHashMap<String, MutableSet<Int>>()
+
     @Volatile
     var mode = ServerMode.SOUND
 
+    /** Applies to requests that the server would accept in its [mode]. */
+    @Volatile
+    var rejection: Rejection? = null
+
     override val address: Address
         get() = listener.address
 
@@ -57,6 +68,9 @@
 
     override fun close() = listener.close()
 
+    /** Returns whether the server responded with [status] to the request [id]. */
+    fun gave(id: String, status: Int): Boolean = status in givenStatuses[id].orEmpty()
+
     /** The JSON of this server's store entry, which advertises the address [endpoint]. */
     fun entry(service: String, zone: String, state: String = "ready", endpoint: Address = address) =
         """{"Service":"$service","Address":"$endpoint","Zone":"$zone","Version":"v1","Slots":6,""" +
@@ -67,12 +81,23 @@
         val expected = request.header(EXPECT_INSTANCE_HEADER)
         when {
             expected != null && expected != instance -> answer(request, Status(WRONG_INSTANCE, ""))
-            mode == ServerMode.FULL ->
-                answer(request, Status.SERVICE_UNAVAILABLE).header("X-Pomeloladder-Not-Run", "1")
-            else -> run(request)
+            mode == ServerMode.FULL -> reject(request, Status.SERVICE_UNAVAILABLE)
+            else -> {
+                val rejection = rejection?.takeIf { Random.nextDouble() < it.share }
+                if (rejection ==
+                    null
+                ) {
+                    run(request)
+                } else {
+                    reject(request, Status(rejection.status, ""))
+                }
+            }
         }
     }
 
+    private fun reject(request: Request, status: Status) =
+        answer(request, status).header("X-Pomeloladder-Not-Run", "1")
+
     private fun run(request: Request): Response {
         val id = request.header(REQUEST_ID_HEADER).orEmpty()
         runs.computeIfAbsent(id) { AtomicInteger() }.incrementAndGet()
@@ -91,10 +116,15 @@
             .body(Body(EventStream(id, after + 1)))
     }
 
-    private fun answer(request: Request, status: Status) = Response(status)
-        .header(REQUEST_ID_HEADER, request.header(REQUEST_ID_HEADER))
-        .header("X-Pomeloladder-Server-Stamp", "stamp-$instance")
-        .header("Keep-Alive", "timeout=5")
+    private fun answer(request: Request, status: Status): Response {
+        val id = request.header(REQUEST_ID_HEADER)
+        val statuses = givenStatuses.computeIfAbsent(id.orEmpty()) { ConcurrentHashMap.newKeySet() }
+        statuses += status.code
+        return Response(status)
+            .header(REQUEST_ID_HEADER, id)
+            .header("X-Pomeloladder-Server-Stamp", "stamp-$instance")
+            .header("Keep-Alive", "timeout=5")
+    }
 
     /**
      * Streams the events of the request [id] from number [nextNumber] on; a read returns bytes of
