Play stuttering servers in the soak, and let its proxies pass resets on

Change: three StutteringServerStandIns beside the older servers, and holds, delays and cuts at them drawn by the new generator. RouteServer is what both kinds of servers record. A proxy resets both sides unless its target or source ended. The soak's VMs and its audit share a slack of 20, since it has fewer requests than the platform.

--- a/bench/src/test/kotlin/org/pomeloladder/bench/GatewayProcess.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewayProcess.kt
@@ -28,6 +28,7 @@
     private val region: String,
     private val ports: GatewayPorts,
     private val store: Address,
+    private val retryBounds: RetryBounds = RetryBounds(),
 ) : AutoCloseable {
     private val directory = File.createTempFile("gateway-", "").apply {
         delete()
@@ -132,9 +133,9 @@
         seeds: ["127.0.0.2:1", "127.0.0.3:1"]
         platform: "$store"
         bounds:
-          retryRatio: 0.2
-          retryWindowS: 10
-          retrySlack: 56
+          retryRatio: ${retryBounds.ratio}
+          retryWindowS: ${retryBounds.windowMs / MS_PER_S}
+          retrySlack: ${retryBounds.slack}
           coldOverage: 1.5
           coldSlack: 3
           drainMs: 4000
@@ -144,5 +145,6 @@
 
     private companion object {
         const val OK = 200
+        const val MS_PER_S = 1_000
     }
 }
--- a/bench/src/test/kotlin/org/pomeloladder/bench/GatewaySoakTest.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewaySoakTest.kt
@@ -32,7 +32,7 @@
 
     private fun soak(seed: Long) {
         val durationMs = System.getProperty("soak.ms")?.toLong() ?: CI_DURATION_MS
-        SoakCluster().use { cluster ->
+        SoakCluster(seed).use { cluster ->
             cluster.start()
             val callers = SoakCallers(cluster, seed)
             val faults = SoakFaults(cluster, callers, seed)
--- a/bench/src/test/kotlin/org/pomeloladder/bench/RetryBudgetAudit.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/RetryBudgetAudit.kt
@@ -7,7 +7,7 @@
 
 import org.pomeloladder.standins.Arrival
 
-/** The rule's bounds. They equal those in the settings of [GatewayProcess]. */
+/** The rule's bounds. The settings of [GatewayProcess] get the same. */
 internal class RetryBounds(
     val ratio: Double = 0.2,
     val slack: Double = 56.0,
--- a/bench/src/test/kotlin/org/pomeloladder/bench/SoakCallers.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/SoakCallers.kt
@@ -157,9 +157,12 @@
 
     /** Returns the window of each service in which its retries come closest to their bound. */
     fun worstWindows(): Map<String, RetryWindow> = requestTimesMs.mapNotNull { (service, timesMs) ->
-        val arrivals = cluster.servers.filter { it.service == service }
+        val arrivals = cluster.allServers.filter { it.service == service }
             .flatMap { it.standIn.arrivals }
-        RetryBudgetAudit(timesMs, arrivals).worstWindow()?.let { service to it }
+        RetryBudgetAudit(timesMs, arrivals, SoakCluster.RETRY_BOUNDS).worstWindow()?.let {
+            service to
+                it
+        }
     }.toMap()
 
     /** Sends a request on [route] over [connection] and checks its response. */
@@ -220,7 +223,7 @@
             return
         }
         val instance = stamp.removePrefix("stamp-")
-        val server = cluster.servers.find { it.standIn.instance == instance }
+        val server = cluster.allServers.find { it.standIn.instance == instance }
         if (server == null || !server.standIn.gave(id, answer.status)) {
             cluster.violations += "$id got ${answer.status}, which $stamp did not give: $headers"
         }
@@ -231,7 +234,7 @@
     }
 
     private fun expectedBody(id: String, route: String, instance: String, status: Int) = when {
-        status == FAILURE -> "failure of $instance"
+        status == FAILURE -> "failure of $instance to $id"
         status != OK -> ""
         route != "stream" -> "answer of $instance to $id"
         else -> (1..RouteServerStandIn.STREAM_EVENTS)
--- a/bench/src/test/kotlin/org/pomeloladder/bench/SoakCluster.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/SoakCluster.kt
@@ -1,17 +1,24 @@
 /*
  * The deployment of one soak run: entry VMs in two regions, each with a proxy to the store, and
- * backend servers, each behind a proxy.
+ * backend servers, each behind a proxy. Some of the servers stutter.
  */
 package org.pomeloladder.bench
 
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.random.Random
 import org.pomeloladder.standins.FaultProxy
+import org.pomeloladder.standins.RouteServer
 import org.pomeloladder.standins.RouteServerStandIn
 import org.pomeloladder.standins.StoreStandIn
+import org.pomeloladder.standins.StutteringServerStandIn
+import org.pomeloladder.standins.stutterPlan
 
 /** A backend server and the proxy whose address is published for it. */
-internal class SoakServer(val service: String, val zone: String, number: Int) {
-    val standIn = RouteServerStandIn("i-$service-$number")
+internal class SoakServer<out S : RouteServer>(
+    val service: String,
+    private val zone: String,
+    val standIn: S,
+) {
     val proxy by lazy { FaultProxy(standIn.address) }
     val key = "servers/${standIn.instance}"
 
@@ -26,15 +33,23 @@
 }
 
 /** A deployment. Closing it ends every process that it started. */
-internal class SoakCluster : AutoCloseable {
+internal class SoakCluster(seed: Long) : AutoCloseable {
     val store = StoreStandIn()
     val servers = listOf(
-        SoakServer("shop", "north-a", 1),
-        SoakServer("shop", "north-a", 2),
-        SoakServer("shop", "south-a", 3),
-        SoakServer("model", "north-a", 1),
-        SoakServer("model", "south-a", 2),
+        server("shop", "north-a", 1),
+        server("shop", "north-a", 2),
+        server("shop", "south-a", 3),
+        server("model", "north-a", 1),
+        server("model", "south-a", 2),
     )
+
+    /** Servers that send second responses and end responses badly, as drawn from the seed. */
+    val stutterers = listOf(
+        stutterer("shop", "north-a", 1, seed),
+        stutterer("shop", "south-a", 2, seed),
+        stutterer("model", "north-a", 3, seed),
+    )
+    val allServers: List<SoakServer<RouteServer>> = servers + stutterers
     lateinit var vms: List<SoakVm>
         private set
     private val ports = GatewayPorts()
@@ -45,7 +60,7 @@
 
     fun start() {
         store.start()
-        for (server in servers) {
+        for (server in allServers) {
             server.standIn.start()
             server.proxy.start()
             store.put(server.key, server.entry())
@@ -54,7 +69,8 @@
         vms = List(VM_COUNT) { index ->
             val proxy = FaultProxy(store.address).apply { start() }
             val region = if (index * REGIONS < VM_COUNT) "north" else "south"
-            SoakVm(GatewayProcess(index + FIRST_HOST_NUMBER, region, ports, proxy.address), proxy)
+            val number = index + FIRST_HOST_NUMBER
+            SoakVm(GatewayProcess(number, region, ports, proxy.address, RETRY_BOUNDS), proxy)
         }
         vms.forEach { it.process.start() }
         vms.forEach { it.process.awaitReady() }
@@ -94,7 +110,7 @@
     val serviceOfRoute = mapOf("pay" to "shop", "look" to "shop", "stream" to "model")
 
     /** Returns how often the backend servers ran the request [id] in total. */
-    fun runsOf(id: String): Int = servers.sumOf { it.standIn.runs[id]?.get() ?: 0 }
+    fun runsOf(id: String): Int = allServers.sumOf { it.standIn.runs[id]?.get() ?: 0 }
 
     /** Returns the log of each VM by host, for the report of a failed run. */
     fun logs(): Map<String, String> =
@@ -107,19 +123,44 @@
                 it.storeProxy.close()
             }
         }
-        servers.forEach {
+        allServers.forEach {
             it.proxy.close()
             it.standIn.close()
         }
         store.close()
     }
 
+    private fun server(service: String, zone: String, number: Int) =
+        SoakServer(service, zone, RouteServerStandIn("i-$service-$number"))
+
+    private fun stutterer(service: String, zone: String, number: Int, seed: Long) = SoakServer(
+        service,
+        zone,
+        StutteringServerStandIn(
+            "i-stutter-$number",
+            stutterPlan {
+                val random = Random(seed xor number.toLong())
+                this.seed = random.nextLong()
+                stutterShare = random.nextDouble(MAX_STUTTER_SHARE)
+                badEndShare = random.nextDouble(MAX_BAD_SHARE)
+                failureShare = random.nextDouble(MAX_BAD_SHARE)
+                rejectionShare = random.nextDouble(MAX_BAD_SHARE)
+            },
+            streamEvents = RouteServerStandIn.STREAM_EVENTS,
+        ),
+    )
+
     companion object {
+        private const val MAX_STUTTER_SHARE = 0.5
+        private const val MAX_BAD_SHARE = 0.1
         private val VM_COUNT = Integer.getInteger("soak.vms", 5)
         private const val REGIONS = 2
 
         /** The stand-ins listen on 127.0.0.1. */
         private const val FIRST_HOST_NUMBER = 2
+
+        /** A smaller slack than the platform's, since the soak has fewer requests. */
+        val RETRY_BOUNDS = RetryBounds(slack = 20.0)
         const val INITIAL_TIMEOUT_MS = 3_000
     }
 }
--- a/bench/src/test/kotlin/org/pomeloladder/bench/SoakFaults.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/SoakFaults.kt
@@ -13,6 +13,7 @@
 import org.pomeloladder.standins.Fault
 import org.pomeloladder.standins.FaultProxy
 import org.pomeloladder.standins.Rejection
+import org.pomeloladder.standins.RouteServerStandIn
 import org.pomeloladder.standins.ServerMode
 
 /** Injects faults drawn from a seed into [cluster] and records each in [history]. */
@@ -26,8 +27,8 @@
     /** A separate generator for newer kinds of faults, so that older seeds draw the same series. */
     private val laterKinds = Random(seed xor LATER_KINDS_SEED_MASK)
 
-    /** Likewise for the faults that make retries likely. */
-    private val retryKinds = Random(seed xor RETRY_KINDS_SEED_MASK)
+    /** Likewise for rejections, bursts, series of restarts and faults at stuttering servers. */
+    private val newestKinds = Random(seed xor NEWEST_KINDS_SEED_MASK)
     private val scheduler = Executors.newScheduledThreadPool(FAULT_THREADS)
     private val startedNanos = System.nanoTime()
 
@@ -41,7 +42,7 @@
             Thread.sleep(random.nextLong(MIN_GAP_MS, MAX_GAP_MS))
             inject()
             if (laterKinds.nextInt(LATER_KINDS_INTERVAL) == 0) injectLaterKind()
-            if (retryKinds.nextInt(RETRY_KINDS_INTERVAL) == 0) injectRetryKind()
+            if (newestKinds.nextInt(NEWEST_KINDS_INTERVAL) == 0) injectNewestKind()
         }
     }
 
@@ -50,9 +51,9 @@
         scheduler.shutdown()
         scheduler.awaitTermination(END_TIMEOUT_S, TimeUnit.SECONDS)
         cluster.store.isRefusing = false
-        cluster.servers.forEach {
+        cluster.servers.forEach { it.standIn.mode = ServerMode.SOUND }
+        cluster.allServers.forEach {
             it.proxy.heal()
-            it.standIn.mode = ServerMode.SOUND
             it.standIn.rejection = null
             cluster.store.put(it.key, it.entry())
         }
@@ -136,45 +137,53 @@
         }
     }
 
-    private fun injectRetryKind() {
-        val forMs = retryKinds.nextLong(MIN_RETRY_FAULT_MS, MAX_RETRY_FAULT_MS)
-        val service = cluster.servers[retryKinds.nextInt(cluster.servers.size)].service
-        val ofService = cluster.servers.filter { it.service == service }.shuffled(retryKinds)
-        when (retryKinds.nextInt(RETRY_KINDS_COUNT)) {
+    private fun injectNewestKind() {
+        val forMs = newestKinds.nextLong(MIN_NEWEST_FAULT_MS, MAX_NEWEST_FAULT_MS)
+        val service = cluster.servers.random(newestKinds).service
+        val ofService = cluster.allServers.filter { it.service == service }.shuffled(newestKinds)
+        when (newestKinds.nextInt(NEWEST_KINDS_COUNT)) {
             0 -> reject(ofService.take(1), forMs)
-            1 -> reject(ofService.take((ofService.size + 1) / 2), forMs)
-            2 -> reject(cluster.servers, forMs)
+            1 -> reject(ofService.drop(1), forMs)
+            2 -> reject(cluster.allServers, forMs)
             3 -> burst(forMs)
             4 -> restartInSeries(forMs)
+            5 -> holdStutterer(forMs)
             else -> {
-                reject(cluster.servers, forMs)
+                reject(cluster.allServers, forMs)
                 burst(forMs)
                 restartInSeries(forMs)
             }
         }
     }
 
-    private fun reject(servers: List<SoakServer>, forMs: Long) {
-        val share = retryKinds.nextDouble(MIN_REJECTED_SHARE, 1.0)
-        val rejection = Rejection(share, REJECTED_STATUSES.random(retryKinds))
+    private fun reject(servers: List<SoakServer<*>>, forMs: Long) {
+        val share = newestKinds.nextDouble(MIN_REJECTED_SHARE, 1.0)
+        val rejection = Rejection(share, REJECTED_STATUSES.random(newestKinds))
         record("$rejection at ${servers.map { it.key }} for $forMs ms") {
             servers.forEach { it.standIn.rejection = rejection }
         }
         runAfter(forMs) { servers.forEach { it.standIn.rejection = null } }
     }
 
+    private fun holdStutterer(forMs: Long) {
+        val server = cluster.stutterers.random(newestKinds)
+        val fault = HOLDS.random(newestKinds)
+        record("$fault at ${server.key} for $forMs ms") { server.proxy.inject(fault) }
+        runAfter(forMs) { server.proxy.heal() }
+    }
+
     private fun burst(forMs: Long) {
-        val count = retryKinds.nextInt(MIN_BURST_CALLERS, MAX_BURST_CALLERS)
+        val count = newestKinds.nextInt(MIN_BURST_CALLERS, MAX_BURST_CALLERS)
         record("burst of $count callers for $forMs ms") { callers.burst(count, forMs) }
     }
 
     /** Restarts a drawn number of VMs again and again, each after a gap of its own, for [forMs]. */
     private fun restartInSeries(forMs: Long) {
-        val up = cluster.vms.filter { !it.isDown }.shuffled(retryKinds)
-        val restarted = up.take(retryKinds.nextInt(up.size + 1))
+        val up = cluster.vms.filter { !it.isDown }.shuffled(newestKinds)
+        val restarted = up.take(newestKinds.nextInt(up.size + 1))
         for (vm in restarted) {
             vm.isDown = true
-            val gapMs = retryKinds.nextLong(MIN_RESTART_GAP_MS, MAX_RESTART_GAP_MS)
+            val gapMs = newestKinds.nextLong(MIN_RESTART_GAP_MS, MAX_RESTART_GAP_MS)
             for (atMs in 0 until forMs step gapMs) {
                 runAfter(atMs) { killAndStart(vm, isLast = atMs + gapMs >= forMs) }
             }
@@ -225,13 +234,13 @@
         runAfter(forMs) { proxy.heal() }
     }
 
-    private fun changeMood(server: SoakServer, forMs: Long) {
+    private fun changeMood(server: SoakServer<RouteServerStandIn>, forMs: Long) {
         val mood = ServerMode.entries[random.nextInt(ServerMode.entries.size)]
         record("$mood at ${server.key} for $forMs ms") { server.standIn.mode = mood }
         runAfter(forMs) { server.standIn.mode = ServerMode.SOUND }
     }
 
-    private fun drain(server: SoakServer, forMs: Long) {
+    private fun drain(server: SoakServer<RouteServerStandIn>, forMs: Long) {
         record("${server.key} is drained and returns ${forMs + ABSENCE_MS} ms later") {
             cluster.store.put(server.key, server.entry("draining"))
         }
@@ -257,12 +266,17 @@
         const val LATER_KINDS_SEED_MASK = 0x5eedL
         const val LATER_KINDS_COUNT = 6
         const val LATER_KINDS_INTERVAL = 3
-        const val RETRY_KINDS_SEED_MASK = 0x7e7215L
-        const val RETRY_KINDS_COUNT = 6
-        const val RETRY_KINDS_INTERVAL = 3
-        const val MIN_RETRY_FAULT_MS = 1_000L
-        const val MAX_RETRY_FAULT_MS = 8_000L
+        const val NEWEST_KINDS_SEED_MASK = 0x7e7215L
+        const val NEWEST_KINDS_COUNT = 7
+        const val NEWEST_KINDS_INTERVAL = 2
+        const val MIN_NEWEST_FAULT_MS = 1_000L
+        const val MAX_NEWEST_FAULT_MS = 8_000L
         const val MIN_REJECTED_SHARE = 0.2
+        val HOLDS = listOf(
+            Fault.Delay(MAX_DELAY_MS),
+            Fault.Hold(setOf(Direction.TO_SOURCE)),
+            Fault.Cut(setOf(Direction.TO_SOURCE)),
+        )
         val REJECTED_STATUSES = listOf(503, 429)
         const val MIN_BURST_CALLERS = 8
         const val MAX_BURST_CALLERS = 48
--- a/standins/src/main/kotlin/org/pomeloladder/standins/FaultProxy.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/FaultProxy.kt
@@ -9,6 +9,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.thread
 import kotlin.concurrent.withLock
@@ -106,6 +107,7 @@
     ) : AutoCloseable {
         @Volatile
         private var hasDroppedBytes = false
+        private val isClosed = AtomicBoolean()
 
         fun pump(direction: Direction, first: ByteArray) {
             val from = if (direction == Direction.TO_TARGET) sourceSocket else targetSocket
@@ -119,18 +121,27 @@
                     forward(direction, buffer.copyOf(count), to)
                 }
                 awaitRelease(direction)
+                close()
             } catch (_: IOException) {
-                // Expected when either side closes the connection.
+                // Expected when either side resets the connection.
+                reset()
             }
-            close()
         }
 
         fun onFaultChanged(fault: Fault) {
-            if (fault == Fault.Refuse || (hasDroppedBytes && fault !is Fault.Cut)) close()
+            if (fault == Fault.Refuse || (hasDroppedBytes && fault !is Fault.Cut)) reset()
         }
 
-        override fun close() {
+        /** Closes both sides as broken, so that neither takes the end for one that was meant. */
+        private fun reset() = close { it.setSoLinger(true, 0) }
+
+        override fun close() = close {}
+
+        private fun close(prepare: (Socket) -> Unit) {
+            if (!isClosed.compareAndSet(false, true)) return
             connections -= this
+            prepare(sourceSocket)
+            prepare(targetSocket)
             sourceSocket.close()
             targetSocket.close()
             copy?.close()
--- a/standins/src/main/kotlin/org/pomeloladder/standins/RouteServerStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/RouteServerStandIn.kt
@@ -11,7 +11,6 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
-import kotlin.random.Random
 import org.http4k.core.Body
 import org.http4k.core.HttpHandler
 import org.http4k.core.Request
@@ -34,32 +33,23 @@
  */
 enum class ServerMode { SOUND, FULL, FAILING, BREAKING }
 
-/** Rejects a request with [status], without processing it, with the probability [share]. */
-data class Rejection(val share: Double, val status: Int)
-
-/** The arrival of a request at a server, by the system's monotonic clock. */
-class Arrival(val requestId: String, val atMs: Long)
-
 /**
  * A server with the id [instance] that processes each request for [processingMs] before responding.
  */
-class RouteServerStandIn(val instance: String, private val processingMs: Long = 20) : StandIn {
+class RouteServerStandIn(override val instance: String, private val processingMs: Long = 20) :
+    RouteServer {
     private val listener = LoopbackListener(0, handler())
 
-    /** Number of times that each request was processed, by request id. */
-    val runs = ConcurrentHashMap<String, AtomicInteger>()
-
-    /** All arrivals so far, including those that the server rejected. */
-    val arrivals = ConcurrentLinkedQueue<Arrival>()
+    override val runs = ConcurrentHashMap<String, AtomicInteger>()
+    override val arrivals = ConcurrentLinkedQueue<Arrival>()
 
     private val givenStatuses = ConcurrentHashMap<String, MutableSet<Int>>()
 
     @Volatile
     var mode = ServerMode.SOUND
 
-    /** Applies to requests that the server would accept in its [mode]. */
     @Volatile
-    var rejection: Rejection? = null
+    override var rejection: Rejection? = null
 
     override val address: Address
         get() = listener.address
@@ -68,11 +58,9 @@
 
     override fun close() = listener.close()
 
-    /** Returns whether the server responded with [status] to the request [id]. */
-    fun gave(id: String, status: Int): Boolean = status in givenStatuses[id].orEmpty()
+    override fun gave(id: String, status: Int): Boolean = status in givenStatuses[id].orEmpty()
 
-    /** The JSON of this server's store entry, which advertises the address [endpoint]. */
-    fun entry(service: String, zone: String, state: String = "ready", endpoint: Address = address) =
+    override fun entry(service: String, zone: String, state: String, endpoint: Address) =
         """{"Service":"$service","Address":"$endpoint","Zone":"$zone","Version":"v1","Slots":6,""" +
             """"State":"$state","ColdLeftMs":0,"Seq":1,"born":1}"""
 
@@ -83,7 +71,7 @@
             expected != null && expected != instance -> answer(request, Status(WRONG_INSTANCE, ""))
             mode == ServerMode.FULL -> reject(request, Status.SERVICE_UNAVAILABLE)
             else -> {
-                val rejection = rejection?.takeIf { Random.nextDouble() < it.share }
+                val rejection = rejection?.takeIf { it.isDrawn() }
                 if (rejection ==
                     null
                 ) {
@@ -103,7 +91,7 @@
         runs.computeIfAbsent(id) { AtomicInteger() }.incrementAndGet()
         Thread.sleep(processingMs)
         if (mode == ServerMode.FAILING) {
-            return answer(request, Status.INTERNAL_SERVER_ERROR).body("failure of $instance")
+            return answer(request, Status.INTERNAL_SERVER_ERROR).body("failure of $instance to $id")
         }
         if (request.uri.path.startsWith(STREAM_PATH_PREFIX)) return stream(request, id)
         return answer(request, Status.OK).body("answer of $instance to $id")
--- a/standins/src/main/kotlin/org/pomeloladder/standins/SecondAnswers.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/SecondAnswers.kt
@@ -9,6 +9,7 @@
 internal const val STATUS_OK = 200
 internal const val STATUS_FAILURE = 500
 internal const val STATUS_BUSY = 503
+internal const val STATUS_TOO_MANY = 429
 private const val HEX = 16
 
 /** An answer that the server with the id [instance] made itself, before any fault. */
@@ -70,7 +71,9 @@
         append("Keep-Alive: timeout=5\r\n")
         requestId?.let { append("$REQUEST_ID_FIELD: $it\r\n") }
         append("X-Pomeloladder-Server-Stamp: stamp-$instance\r\n")
-        if (status == STATUS_BUSY) append("X-Pomeloladder-Not-Run: 1\r\n")
+        if (status == STATUS_BUSY || status == STATUS_TOO_MANY) {
+            append("X-Pomeloladder-Not-Run: 1\r\n")
+        }
         when (framing) {
             Framing.LENGTH -> append("Content-Length: ${body.length}\r\n")
             Framing.CHUNKED -> append("Transfer-Encoding: chunked\r\n")
--- a/standins/src/main/kotlin/org/pomeloladder/standins/StutteringServerStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/StutteringServerStandIn.kt
@@ -62,10 +62,11 @@
 
 /** A server with the id [instance] that does as [plan] says. */
 class StutteringServerStandIn(
-    val instance: String,
+    override val instance: String,
     private val plan: StutterPlan,
     private val processingMs: Long = 2,
-) : StandIn {
+    private val streamEvents: Int = STREAM_EVENTS,
+) : RouteServer {
     private val listener = ServerSocket(0, BACKLOG, InetAddress.getByName(LOOPBACK))
     private val connections = ConcurrentHashMap.newKeySet<Socket>()
     private val timer = Executors.newSingleThreadScheduledExecutor { task ->
@@ -75,8 +76,11 @@
     /** The first answers of all runs and rejections, by request id. */
     val firstAnswers = ConcurrentHashMap<String, ConcurrentLinkedQueue<FirstAnswer>>()
 
-    /** Number of times that each request was processed, by request id. */
-    val runs = ConcurrentHashMap<String, AtomicInteger>()
+    override val runs = ConcurrentHashMap<String, AtomicInteger>()
+    override val arrivals = ConcurrentLinkedQueue<Arrival>()
+
+    @Volatile
+    override var rejection: Rejection? = null
 
     /** Number of second answers that were sent. */
     val stutterCount = AtomicInteger()
@@ -97,9 +101,11 @@
         connections.forEach { it.close() }
     }
 
-    /** The JSON of this server's store entry. */
-    fun entry(service: String, zone: String, state: String = "ready") =
-        """{"Service":"$service","Address":"$address","Zone":"$zone","Version":"v1","Slots":64,""" +
+    override fun gave(id: String, status: Int): Boolean =
+        firstAnswers[id].orEmpty().any { it.status == status }
+
+    override fun entry(service: String, zone: String, state: String, endpoint: Address) =
+        """{"Service":"$service","Address":"$endpoint","Zone":"$zone","Version":"v1","Slots":64,""" +
             """"State":"$state","ColdLeftMs":0,"Seq":1,"born":1}"""
 
     private class Request(val path: String, val fields: Map<String, String>) {
@@ -123,6 +129,7 @@
             secondAnswer?.let(::write)
             secondAnswer = null
             val id = request.id ?: return write(healthAnswer())
+            arrivals += Arrival(id, RouteServerStandIn.monotonicMs())
             val expected = request.fields["x-pomeloladder-expect-instance"]
             if (expected != null && expected != instance) {
                 return write(AnswerText(WRONG_INSTANCE, id, instance, "").text().toByteArray())
@@ -199,6 +206,7 @@
 
     private fun firstAnswer(request: Request, id: String, draws: Random): FirstAnswer {
         val kind = draws.nextDouble()
+        rejection?.takeIf { it.isDrawn() }?.let { return FirstAnswer(id, instance, it.status, "") }
         if (kind < plan.rejectionShare) return FirstAnswer(id, instance, STATUS_BUSY, "")
         runs.computeIfAbsent(id) { AtomicInteger() }.incrementAndGet()
         Thread.sleep(processingMs)
@@ -214,7 +222,7 @@
             )
         }
         val after = request.fields["last-event-id"]?.toIntOrNull() ?: 0
-        val events = (after + 1..STREAM_EVENTS).joinToString("") {
+        val events = (after + 1..streamEvents).joinToString("") {
             RouteServerStandIn.event(it, id)
         }
         return FirstAnswer(id, instance, STATUS_OK, events)
--- a/standins/src/test/kotlin/org/pomeloladder/standins/FaultProxyTest.kt
+++ b/standins/src/test/kotlin/org/pomeloladder/standins/FaultProxyTest.kt
@@ -44,6 +44,36 @@
             expectThat(runCatching { client.receive() }.getOrElse { "" }).isEqualTo("")
         }
 
+    @Test
+    fun `a reset by the target reaches the source as a reset, not as the end of a response`() =
+        withTarget({
+            setSoLinger(true, 0)
+            close()
+        }) { client -> expectThrows<IOException> { client.receive() } }
+
+    @Test
+    fun `the end of the target's bytes reaches the source as an end`() =
+        withTarget({ close() }) { client -> expectThat(client.receive()).isEqualTo("") }
+
+    /** Runs [test] with a client, through a proxy, of a server that reads and then does [end]. */
+    private fun withTarget(end: Socket.() -> Unit, test: (Socket) -> Unit) {
+        val server = ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))
+        thread(isDaemon = true) {
+            server.accept().run {
+                receive()
+                end()
+            }
+        }
+        FaultProxy(Address("127.0.0.1", server.localPort)).use { proxy ->
+            proxy.start()
+            Socket(proxy.address.host, proxy.address.port).use { client ->
+                client.getOutputStream().write("x".toByteArray())
+                test(client)
+            }
+        }
+        server.close()
+    }
+
     /** Runs [test] with a proxy in front of an echo server and a client connected to the proxy. */
     private fun withEcho(test: (FaultProxy, Socket) -> Unit) {
         val server = ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))
