--- a/bench/src/test/kotlin/org/pomeloladder/bench/GatewaySoakTest.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewaySoakTest.kt
@@ -62,6 +62,9 @@
     private fun isServing(vm: SoakVm, callers: SoakCallers): Boolean = try {
         val address = vm.process.callers
         SoakConnection(address.host, address.port).use { callers.call(it, "look").status == OK }
+    } catch (e: MalformedResponse) {
+        callers.record(e)
+        false
     } catch (_: java.io.IOException) {
         false
     }
--- a/bench/src/test/kotlin/org/pomeloladder/bench/SoakCallers.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/SoakCallers.kt
@@ -177,6 +177,11 @@
         return answer
     }
 
+    /** Records bytes that are no response as a violation. */
+    fun record(malformed: MalformedResponse) {
+        cluster.violations += checkNotNull(malformed.message)
+    }
+
     private fun start(run: (Random) -> Unit) {
         val index = nextCaller.getAndIncrement()
         threads += thread(name = "soak-caller-$index") { run(Random(seed * CALLERS + index)) }
@@ -194,7 +199,7 @@
                     }
                 }
             } catch (e: MalformedResponse) {
-                cluster.violations += checkNotNull(e.message)
+                record(e)
             } catch (_: IOException) {
                 Thread.sleep(if (isPatient) RECONNECT_MS else IMPATIENT_RECONNECT_MS)
             }
