Add seed 524 to the soak's regression seeds and list seeds 523 and 571

Seeds 523 and 571 with ten VMs missed the recovery bound, and 523 once with five; not traced to a cause, so they are in KNOWN-RED.txt.

--- a/bench/src/test/kotlin/org/pomeloladder/bench/GatewaySoakTest.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewaySoakTest.kt
@@ -88,10 +88,13 @@
     private companion object {
         /**
          * Seeds of the short CI run. Every seed that ever failed stays, with a line on its cause.
-         * Not included yet: 48 and 108, which send SIGHUP before the main function of the process
-         * (KNOWN-RED.txt).
+         * - 524: the head of a second response, cut off, and the next response became one.
+         *
+         * 516 failed because the proxies ended reset connections like closed ones; FaultProxyTest
+         * covers that. Not included yet: 48 and 108, which send SIGHUP before the main function of
+         * the process, and 523 and 571 (KNOWN-RED.txt).
          */
-        val REGRESSION_SEEDS = listOf(1L, 2L)
+        val REGRESSION_SEEDS = listOf(1L, 2L, 524L)
         const val CI_DURATION_MS = 12_000L
 
         /** The platform's bound on the recovery time. */
