--- a/standins/src/main/kotlin/org/pomeloladder/standins/RouteServerStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/RouteServerStandIn.kt
@@ -1,7 +1,8 @@
 /*
  * A simulated backend server of the users' platform. It records the arrival of each request, counts
- * how often it processes each, stamps its responses with its id and streams events. It can be set to
- * reject requests as full, to fail, or to cut off a response part-way.
+ * how often it processes each and the statuses it gave, stamps its responses with its id and streams
+ * events. It can be set to reject all requests or a share of them, to fail, or to cut off a response
+ * part-way.
  */
 package org.pomeloladder.standins
 
@@ -32,24 +33,24 @@
  */
 enum class ServerMode { SOUND, FULL, FAILING, BREAKING }
 
-/** The arrival of a request at a server, by the system's monotonic clock. */
-class Arrival(val requestId: String, val atMs: Long)
-
 /**
  * A server with the id [instance] that processes each request for [processingMs] before responding.
  */
-class RouteServerStandIn(val instance: String, private val processingMs: Long = 20) : StandIn {
+class RouteServerStandIn(override val instance: String, private val processingMs: Long = 20) :
+    RouteServer {
     private val listener = LoopbackListener(0, handler())
 
-    /** Number of times that each request was processed, by request id. */
-    val runs = ConcurrentHashMap<String, AtomicInteger>()
+    override val runs = ConcurrentHashMap<String, AtomicInteger>()
+    override val arrivals = ConcurrentLinkedQueue<Arrival>()
 
-    /** All arrivals so far, including those that the server rejected. */
-    val arrivals = ConcurrentLinkedQueue<Arrival>()
+    private val givenStatuses = ConcurrentHashMap<String, MutableSet<Int>>()
 
     @Volatile
     var mode = ServerMode.SOUND
 
+    @Volatile
+    override var rejection: Rejection? = null
+
     override val address: Address
         get() = listener.address
 
@@ -57,8 +58,9 @@
 
     override fun close() = listener.close()
 
-    /** The JSON of this server's store entry, which advertises the address [endpoint]. */
-    fun entry(service: String, zone: String, state: String = "ready", endpoint: Address = address) =
+    override fun gave(id: String, status: Int): Boolean = status in givenStatuses[id].orEmpty()
+
+    override fun entry(service: String, zone: String, state: String, endpoint: Address) =
         """{"Service":"$service","Address":"$endpoint","Zone":"$zone","Version":"v1","Slots":6,""" +
             """"State":"$state","ColdLeftMs":0,"Seq":1,"born":1}"""
 
@@ -67,18 +69,29 @@
         val expected = request.header(EXPECT_INSTANCE_HEADER)
         when {
             expected != null && expected != instance -> answer(request, Status(WRONG_INSTANCE, ""))
-            mode == ServerMode.FULL ->
-                answer(request, Status.SERVICE_UNAVAILABLE).header("X-Pomeloladder-Not-Run", "1")
-            else -> run(request)
+            mode == ServerMode.FULL -> reject(request, Status.SERVICE_UNAVAILABLE)
+            else -> {
+                val rejection = rejection?.takeIf { it.isDrawn() }
+                if (rejection ==
+                    null
+                ) {
+                    run(request)
+                } else {
+                    reject(request, Status(rejection.status, ""))
+                }
+            }
         }
     }
 
+    private fun reject(request: Request, status: Status) =
+        answer(request, status).header("X-Pomeloladder-Not-Run", "1")
+
     private fun run(request: Request): Response {
         val id = request.header(REQUEST_ID_HEADER).orEmpty()
         runs.computeIfAbsent(id) { AtomicInteger() }.incrementAndGet()
         Thread.sleep(processingMs)
         if (mode == ServerMode.FAILING) {
-            return answer(request, Status.INTERNAL_SERVER_ERROR).body("failure of $instance")
+            return answer(request, Status.INTERNAL_SERVER_ERROR).body("failure of $instance to $id")
         }
         if (request.uri.path.startsWith(STREAM_PATH_PREFIX)) return stream(request, id)
         return answer(request, Status.OK).body("answer of $instance to $id")
@@ -91,10 +104,15 @@
             .body(Body(EventStream(id, after + 1)))
     }
 
-    private fun answer(request: Request, status: Status) = Response(status)
-        .header(REQUEST_ID_HEADER, request.header(REQUEST_ID_HEADER))
-        .header("X-Pomeloladder-Server-Stamp", "stamp-$instance")
-        .header("Keep-Alive", "timeout=5")
+    private fun answer(request: Request, status: Status): Response {
+        val id = request.header(REQUEST_ID_HEADER)
+        val statuses = givenStatuses.computeIfAbsent(id.orEmpty()) { ConcurrentHashMap.newKeySet() }
+        statuses += status.code
+        return Response(status)
+            .header(REQUEST_ID_HEADER, id)
+            .header("X-Pomeloladder-Server-Stamp", "stamp-$instance")
+            .header("Keep-Alive", "timeout=5")
+    }
 
     /**
      * Streams the events of the request [id] from number [nextNumber] on; a read returns bytes of
