Do not reuse a connection that holds the beginning of another response

Callers got the status of one head with the body of another (MIXED): a server sent a complete response and, in the same segment, the beginning of a stray head, "HTTP/1.1 200 OK", a stamp and the start of a header. The next request on that connection was answered 500, and the caller got a stamped 200 with the body of the error.

Cause: bytes after a complete response close the connection only if they decode to a message or arrive after it has ended. The beginning of a head decodes to nothing, stays in the decoder and is joined with the next head.

The decoder tells at the end of a response whether bytes are left, and such a connection is not reused. It replaces Netty's client codec, which hides them. Responses to HEAD are told by the method of the current request.

--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -121,6 +121,7 @@
 internal class ServerConnection(
     val target: SendTarget,
     private val listener: ServerConnectionListener,
+    private val decoder: ResponseDecoder,
 ) : ChannelInboundHandlerAdapter(),
     RawByteFilter {
     private lateinit var channel: Channel
@@ -167,6 +168,7 @@
         active.lastProgressNanos = active.requestNanos
         bytesSinceProgress = 0
         val exchange = active.exchange
+        decoder.requestMethod = exchange.method
         val request = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
             exchange.method,
@@ -300,7 +302,7 @@
             response = null
             return
         }
-        if (isUnframed()) isReusable = false
+        if (isUnframed() || decoder.hasUndecodedBytes) isReusable = false
         if (earlyOutcome == null && isEndedByConnection()) {
             completeIfEndIsSure(active, responseHead)
         } else {
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnectionPool.kt
@@ -11,7 +11,8 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpRequestEncoder
 import java.net.InetSocketAddress
 import jdk.net.ExtendedSocketOptions
 import org.pomeloladder.configuration.Address
@@ -88,6 +89,10 @@
         var openCount = 0
     }
 
+    private val decoderConfig = HttpDecoderConfig()
+        .setMaxInitialLineLength(MAX_LINE_BYTES)
+        .setMaxHeaderSize(MAX_HEAD_BYTES)
+        .setMaxChunkSize(MAX_CHUNK_BYTES)
     private val addressPools = HashMap<Address, AddressPool>()
     private val serverAddresses = HashMap<BackendServerId, Address>()
 
@@ -128,7 +133,8 @@
         onResult: (ConnectResult) -> Unit,
     ) {
         addressPool.openCount++
-        val connection = ServerConnection(target, listener)
+        val decoder = ResponseDecoder(decoderConfig)
+        val connection = ServerConnection(target, listener, decoder)
         val bootstrap = clientBootstrap(loop, localHost, connectTimeoutMs)
             // Without it, Netty closes the channel alike at an orderly end and at a failed write.
             .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
@@ -136,7 +142,8 @@
                 override fun initChannel(channel: Channel) {
                     channel.pipeline()
                         .addLast(RawByteCounter(connection))
-                        .addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
+                        .addLast(decoder)
+                        .addLast(HttpRequestEncoder())
                         .addLast(connection)
                 }
             })
