End the attempt whose informational response stops within its head

A caller got no answer until its deadline, and the attempt was never removed: a server stopped within the head of a 103. BackendClient.call threw HttpResponseException, although it must return all failures, and the thread of the attempt ended without a word.

Cause: for such a head Jetty's client passes on a response with this status, whose body then fails with an unchecked exception.

The exception is now a failure of the attempt like an error of the read. A malformed head of a chunk ends the attempt without this change.

--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/RealBackendClient.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/RealBackendClient.kt
@@ -14,6 +14,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.encodeToString
 import org.eclipse.jetty.client.HttpClient
+import org.eclipse.jetty.client.HttpResponseException
 import org.http4k.client.DualSyncAsyncHttpHandler
 import org.http4k.client.JettyClient
 import org.http4k.core.BodyMode
@@ -187,6 +188,8 @@
         AttemptOutcome.Completed()
     } catch (e: IOException) {
         failed(RefusalReason.CONNECTION_LOST, e.message.orEmpty())
+    } catch (e: HttpResponseException) {
+        failed(RefusalReason.BACKEND_FAILED, e.message.orEmpty())
     }
 
     private fun readStreamResponse(attempt: BackendAttempt, response: Response): AttemptOutcome {
@@ -200,6 +203,8 @@
         } catch (e: IOException) {
             if (attempt.isCancelled) return AttemptOutcome.Cancelled
             failed(RefusalReason.CONNECTION_LOST, e.message.orEmpty())
+        } catch (e: HttpResponseException) {
+            failed(RefusalReason.BACKEND_FAILED, e.message.orEmpty())
         } catch (e: SerializationException) {
             failed(RefusalReason.BACKEND_FAILED, "answer is not valid JSON: ${e.message}")
         }
--- a/daemon/src/test/kotlin/org/pomeloladder/daemon/RealBackendClientTest.kt
+++ b/daemon/src/test/kotlin/org/pomeloladder/daemon/RealBackendClientTest.kt
@@ -12,26 +12,9 @@
 import kotlin.concurrent.thread
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
-import org.pomeloladder.configuration.Address
-import org.pomeloladder.configuration.BackendServerId
-import org.pomeloladder.configuration.BackendServerRecord
-import org.pomeloladder.configuration.ConfigSequence
-import org.pomeloladder.configuration.FailureDomainId
-import org.pomeloladder.configuration.ServiceId
-import org.pomeloladder.configuration.SubscriberId
-import org.pomeloladder.configuration.VmId
-import org.pomeloladder.decisions.AttemptId
 import org.pomeloladder.decisions.AttemptOutcome
 import org.pomeloladder.decisions.BackendCall
-import org.pomeloladder.decisions.HomeToken
-import org.pomeloladder.decisions.Incarnation
-import org.pomeloladder.decisions.OrderKey
-import org.pomeloladder.decisions.PrefixKey
-import org.pomeloladder.decisions.Refusal
-import org.pomeloladder.decisions.RequestId
-import org.pomeloladder.decisions.RequestSpec
 import org.pomeloladder.decisions.RunState
-import org.pomeloladder.peer.ResponsePart
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
@@ -293,62 +276,12 @@
         return head
     }
 
-    private fun Socket.write(text: String) {
-        getOutputStream().write(text.toByteArray())
-        getOutputStream().flush()
-    }
-
     private fun run(
         call: BackendCall = BackendCall.RUN_ORDER,
         subscriber: String = "cafe-1",
         port: Int = server.localPort,
-        sink: ResponseSink = DiscardingSink,
-    ): BackendResult {
-        val domain = FailureDomainId("norte-a")
-        val home = HomeToken(domain, VmId("norte-1"), Incarnation(1), 0)
-        val service = ServiceId("orders")
-        val spec = RequestSpec(
-            id = RequestId("r1"),
-            subscriber = SubscriberId(subscriber),
-            service = service,
-            promptTokens = 1,
-            maxOutputTokens = 0,
-            prefix = PrefixKey(0),
-            budgetMs = 1_000,
-            sequence = ConfigSequence(1),
-            order = OrderKey(home, "ref"),
-        )
-        val address = Address("127.0.0.1", port)
-        val record =
-            BackendServerRecord(BackendServerId("orders-1"), domain, address, setOf(service))
-        return client.call(
-            BackendAttempt(
-                AttemptId("a1"),
-                spec,
-                record,
-                call,
-                fromToken = 0,
-                sink = sink,
-            ),
-        )
-    }
-
-    private object DiscardingSink : RecordingSink()
-
-    private open class RecordingSink : ResponseSink {
-        override val payload = "{}".toByteArray()
-        override val deliveredText = ""
-        var body: String? = null
-
-        override fun onPart(attempt: AttemptId, part: ResponsePart): Boolean {
-            if (part is ResponsePart.Body) body = part.bytes.decodeToString()
-            return true
-        }
-
-        override fun onEnded(attempt: AttemptId, outcome: AttemptOutcome) = Unit
-
-        override fun onRefused(attempt: AttemptId, refusal: Refusal) = Unit
-    }
+        sink: ResponseSink = RecordingSink(),
+    ): BackendResult = client.call(testAttempt(call, port, sink, subscriber))
 
     private companion object {
         const val ORDER_COUNT = 20
