Tell a reset from an orderly end in the client of the subscriber gateway

Callers got part of a body as the whole answer, or an empty one (MIXED): a server answered with neither a length nor chunks and crashed in the answer.

Cause: the end point of Jetty's client logs an error of a read and reports the end of the input instead.

Evidence: CutResponseTest, "a body without a length is not complete at a reset", fails before the change: at each of the positions from the end of the head on, the attempt was Completed with the bytes that had arrived, for orders, calls of services and lookups of orders. A reset that meets the write of a long request fails the attempt already ("a reset during the request", 4 attempts). A head that stops at any byte fails it too.

The end point now lets the error of the read pass, so that the client fails the response, and an orderly end still completes one without a length.

--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/RealBackendClient.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/RealBackendClient.kt
@@ -15,6 +15,7 @@
 import kotlinx.serialization.encodeToString
 import org.eclipse.jetty.client.HttpClient
 import org.eclipse.jetty.client.HttpResponseException
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP
 import org.http4k.client.DualSyncAsyncHttpHandler
 import org.http4k.client.JettyClient
 import org.http4k.core.BodyMode
@@ -50,7 +51,7 @@
     maxHeldBytes: Long = Runtime.getRuntime().maxMemory() / HEAP_DIVISOR,
 ) : BackendClient {
     private val bodyBudget = ByteBudget(maxHeldBytes)
-    private val jetty = HttpClient().apply {
+    private val jetty = HttpClient(HttpClientTransportOverHTTP(ResetAwareConnector())).apply {
         connectTimeout = CONNECT_TIMEOUT_MS
         idleTimeout = idleTimeoutMs
         isFollowRedirects = false
