State the length of the body that HEAD or 304 leaves out, not zero

Callers of HEAD got "content-length: 0" for a body of another length, and with a 304 too, where the header says how long the body would be (RFC 9110, 8.6).

Cause: the length of the body that the server sent, which is none, was always stated. Now the server's own length is passed on for these, or none.

Evidence: BodilessResponseTest, 3 of 3 tests fail before the change at the check of this header.

--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/CallerConnection.kt
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
@@ -195,11 +196,20 @@
             Unpooled.wrappedBuffer(body),
         )
         response.headers().set(withoutHopByHopHeaders(headers))
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+        statedLength(status, headers, body)?.let {
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, it)
+        }
         setCloseHeader(response.headers())
         finish(response)
     }
 
+    /** The length to state: of [body], or of the one that is left out, if the server stated it. */
+    private fun statedLength(status: Int, headers: HttpHeaders, body: ByteArray): String? {
+        val isLeftOut = exchange?.method == HttpMethod.HEAD ||
+            status == HttpResponseStatus.NOT_MODIFIED.code()
+        return if (isLeftOut) headers.get(HttpHeaderNames.CONTENT_LENGTH) else body.size.toString()
+    }
+
     override fun refuse(reason: CallRefusal, retryAfterMs: Long?) {
         val current = exchange ?: return
         if (current.isStreamStarted) {
