--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/RealBackendClient.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/RealBackendClient.kt
@@ -14,6 +14,8 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.encodeToString
 import org.eclipse.jetty.client.HttpClient
+import org.eclipse.jetty.client.HttpResponseException
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP
 import org.http4k.client.DualSyncAsyncHttpHandler
 import org.http4k.client.JettyClient
 import org.http4k.core.BodyMode
@@ -49,7 +51,7 @@
     maxHeldBytes: Long = Runtime.getRuntime().maxMemory() / HEAP_DIVISOR,
 ) : BackendClient {
     private val bodyBudget = ByteBudget(maxHeldBytes)
-    private val jetty = HttpClient().apply {
+    private val jetty = HttpClient(HttpClientTransportOverHTTP(ResetAwareConnector())).apply {
         connectTimeout = CONNECT_TIMEOUT_MS
         idleTimeout = idleTimeoutMs
         isFollowRedirects = false
@@ -187,6 +189,8 @@
         AttemptOutcome.Completed()
     } catch (e: IOException) {
         failed(RefusalReason.CONNECTION_LOST, e.message.orEmpty())
+    } catch (e: HttpResponseException) {
+        failed(RefusalReason.BACKEND_FAILED, e.message.orEmpty())
     }
 
     private fun readStreamResponse(attempt: BackendAttempt, response: Response): AttemptOutcome {
@@ -200,6 +204,8 @@
         } catch (e: IOException) {
             if (attempt.isCancelled) return AttemptOutcome.Cancelled
             failed(RefusalReason.CONNECTION_LOST, e.message.orEmpty())
+        } catch (e: HttpResponseException) {
+            failed(RefusalReason.BACKEND_FAILED, e.message.orEmpty())
         } catch (e: SerializationException) {
             failed(RefusalReason.BACKEND_FAILED, "answer is not valid JSON: ${e.message}")
         }
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/Fetcher.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/Fetcher.kt
@@ -12,7 +12,6 @@
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.FullHttpResponse
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
@@ -75,12 +74,13 @@
         }
         val reusable = idle.remove(address)
         if (reusable != null && reusable.isOpen) return reusable.start(uri, timeoutMs, onResult)
-        val connection = FetchConnection(address)
+        val codec = ServerCodec()
+        val connection = FetchConnection(address, codec)
         val bootstrap = clientBootstrap(loop, localHost, minOf(CONNECT_TIMEOUT_MS, timeoutMs))
             .handler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
                     channel.pipeline().addLast(RawByteCounter(connection))
-                        .addLast(HttpClientCodec())
+                        .addLast(codec)
                         .addLast(HttpObjectAggregator(maxBytes))
                         .addLast(connection)
                 }
@@ -101,8 +101,10 @@
         loop.schedule(task, delayMs, TimeUnit.MILLISECONDS)
     }
 
-    private inner class FetchConnection(private val address: Address) :
-        ChannelInboundHandlerAdapter(),
+    private inner class FetchConnection(
+        private val address: Address,
+        private val codec: ServerCodec,
+    ) : ChannelInboundHandlerAdapter(),
         RawByteFilter {
         private lateinit var channel: Channel
         private var receivedBytes = 0L
@@ -138,19 +140,23 @@
         override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
             try {
                 val response = message as? FullHttpResponse
-                if (response == null || onResult == null || response.decoderResult().isFailure) {
+                if (response == null || onResult == null || !isSound(response)) {
                     return fail("invalid or unexpected HTTP response")
                 }
                 if (response.status().code() < FIRST_FINAL_STATUS) return
                 val bytes = ByteArray(response.content().readableBytes())
                 response.content().readBytes(bytes)
-                if (HttpUtil.isKeepAlive(response)) idle[address] = this else channel.close()
+                val isReusable = HttpUtil.isKeepAlive(response) && !codec.hasUndecodedBytes
+                if (isReusable) idle[address] = this else channel.close()
                 finish(FetchResult.Completed(response.status().code(), response.headers(), bytes))
             } finally {
                 ReferenceCountUtil.release(message)
             }
         }
 
+        private fun isSound(response: FullHttpResponse) =
+            response.decoderResult().isSuccess && !containsStatusLine(response)
+
         override fun channelInactive(ctx: ChannelHandlerContext) {
             idle.remove(address, this)
             finish(FetchResult.Failed("connection closed", isClosed = true))
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerCodec.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerCodec.kt
@@ -1,5 +1,5 @@
 /*
- * HTTP/1.1 codec of connections to backend servers and peers. Unlike Netty's client codec, it tells
+ * HTTP/1.1 codec of outbound connections. Unlike Netty's client codec, it tells
  * whether bytes are left that belong to no decoded message.
  */
 package org.pomeloladder.traffic
