--- a/bench/src/test/kotlin/org/pomeloladder/bench/GatewayRetryBudgetTest.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewayRetryBudgetTest.kt
@@ -63,11 +63,8 @@
         cluster.judge(TRICKLE) { Thread.sleep(TWO_WINDOWS_MS) }
     }
 
-    private fun cluster(
-        bounds: RetryBounds,
-        rejections: Rejections,
-        vms: List<RetryVm>,
-    ) = RetryBudgetCluster(bounds, rejections, vms, seedNumbers = listOf(2, 3))
+    private fun cluster(bounds: RetryBounds, rejections: Rejections, vms: List<RetryVm>) =
+        RetryBudgetCluster(bounds, rejections, vms, seedNumbers = listOf(2, 3))
 
     /** Runs [disturb] under [load] and judges all windows of each service. */
     private fun RetryBudgetCluster.judge(load: RetryLoad, disturb: () -> Unit) = use {
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerCodec.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerCodec.kt
@@ -1,6 +1,6 @@
 /*
- * HTTP/1.1 codec of outbound connections. Unlike Netty's client codec, it tells
- * whether bytes are left that belong to no decoded message.
+ * HTTP/1.1 codec of outbound connections. Unlike Netty's client codec, it tells whether bytes are left
+ * that belong to no decoded message.
  */
 package org.pomeloladder.traffic
 
