--- a/standins/src/main/kotlin/org/pomeloladder/standins/StutteringServerStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/StutteringServerStandIn.kt
@@ -105,8 +105,8 @@
         firstAnswers[id].orEmpty().any { it.status == status }
 
     override fun entry(service: String, zone: String, state: String, endpoint: Address) =
-        """{"Service":"$service","Address":"$endpoint","Zone":"$zone","Version":"v1","Slots":64,""" +
-            """"State":"$state","ColdLeftMs":0,"Seq":1,"born":1}"""
+        """{"Service":"$service","Address":"$endpoint","Zone":"$zone","Version":"v1",""" +
+            """"Slots":64,"State":"$state","ColdLeftMs":0,"Seq":1,"born":1}"""
 
     private class Request(val path: String, val fields: Map<String, String>) {
         val id = fields[REQUEST_ID_FIELD.lowercase()]
