--- a/bench/src/test/kotlin/org/pomeloladder/bench/GatewayStutterTest.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewayStutterTest.kt
@@ -8,7 +8,6 @@
  */
 package org.pomeloladder.bench
 
-import java.io.IOException
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
@@ -105,6 +104,9 @@
     private class Received(val id: String, val answer: SoakAnswer)
 
     private val received = ConcurrentLinkedQueue<Received>()
+
+    /** Descriptions of bytes that are no response. */
+    private val malformed = ConcurrentLinkedQueue<String>()
     private val nextId = AtomicInteger()
 
     // Guards against answers of other requests, parts of answers and joined answers (MIXED, ORDER).
@@ -120,6 +122,7 @@
 
     private fun play(seed: Long) {
         received.clear()
+        malformed.clear()
         val durationMs = System.getProperty("stutter.ms")?.toLong() ?: CI_DURATION_MS
         StutterCluster(seed, forms()).use { cluster ->
             cluster.start()
@@ -128,7 +131,7 @@
                 thread { callUntil(untilNanos, cluster, index, Random(seed * CALLERS + index)) }
             }
             callers.forEach { it.join() }
-            val wrong = received.mapNotNull { violation(cluster, it) }
+            val wrong = received.mapNotNull { violation(cluster, it) } + malformed
             val successCount = received.count { it.answer.status == OK && it.answer.isComplete }
             println(
                 "seed $seed: ${received.size} answers, $successCount whole successes, " +
@@ -146,11 +149,12 @@
         val address = cluster.callerAddresses[index % cluster.callerAddresses.size]
         while (System.nanoTime() < untilNanos) {
             try {
-                SoakConnection(address.host, address.port).use { connection ->
-                    while (System.nanoTime() < untilNanos && call(connection, random)) Unit
+                val isEnded = useConnection(address) {
+                    System.nanoTime() < untilNanos && call(it, random)
                 }
-            } catch (_: IOException) {
-                Thread.sleep(RECONNECT_MS)
+                if (!isEnded) Thread.sleep(RECONNECT_MS)
+            } catch (e: MalformedResponse) {
+                malformed += checkNotNull(e.message)
             }
         }
     }
@@ -171,38 +175,43 @@
 
     /** Describes what is wrong with [got], or returns null. */
     private fun violation(cluster: StutterCluster, got: Received): String? {
-        val id = got.id
+        val problem = problemOfRuns(cluster, got) ?: problemOfAnswer(cluster, got) ?: return null
         val answer = got.answer
-        val stamp = answer.headers["x-pomeloladder-server-stamp"]
-        val isSuccess = answer.status in SUCCESS_STATUSES && answer.isComplete
-        val made = cluster.firstAnswers(id).filter { "stamp-${it.instance}" == stamp }
-        val whole = if (id.startsWith("stream")) {
-            (1..StutteringServerStandIn.STREAM_EVENTS)
-                .joinToString("") { RouteServerStandIn.event(it, id) }
-        } else {
-            null
+        return "${got.id}: $problem: ${answer.status} ${answer.headers} ${answer.body}; made: " +
+            cluster.firstAnswers(got.id).joinToString { "${it.instance} ${it.status}" }
+    }
+
+    private fun problemOfRuns(cluster: StutterCluster, got: Received): String? {
+        if (!got.id.startsWith("pay")) return null
+        val runs = cluster.runsOf(got.id)
+        val isRefused = got.answer.status in NOT_RUN_STATUSES && isLast(got)
+        return when {
+            runs > 1 -> "ran $runs times"
+            runs > 0 && isRefused -> "refused, but it ran"
+            else -> null
         }
-        val problem = when {
-            answer.status in NOT_RUN_STATUSES &&
-                id.startsWith("pay") &&
-                cluster.runsOf(id) > 0 &&
-                isLast(got) -> "refused, but it ran"
-            id.startsWith("pay") && cluster.runsOf(id) > 1 -> "ran ${cluster.runsOf(id)} times"
-            answer.headers["x-pomeloladder-request-id"].let { it != null && it != id } ->
-                "the id of another request"
-            isSuccess && stamp == null -> "a success without a stamp"
-            isSuccess && made.none { it.status == answer.status } -> "a success that none made"
-            isSuccess && made.none { answer.body == (whole ?: it.body) } -> "another body"
-            !isSuccess &&
-                stamp != null &&
-                answer.status !in SUCCESS_STATUSES &&
-                answer.isComplete &&
-                made.none { it.status == answer.status } ->
-                "a failure that none made"
-            else -> return null
+    }
+
+    private fun problemOfAnswer(cluster: StutterCluster, got: Received): String? {
+        val answer = got.answer
+        val answeredId = answer.headers["x-pomeloladder-request-id"]
+        if (answeredId != null && answeredId != got.id) return "the id of another request"
+        if (!answer.isComplete) return null
+        val isSuccess = answer.status in SUCCESS_STATUSES
+        val stamp = answer.headers["x-pomeloladder-server-stamp"]
+            ?: return if (isSuccess) "a success without a stamp" else null
+        val made = cluster.firstAnswers(got.id).filter { "stamp-${it.instance}" == stamp }
+        return when {
+            made.none { it.status == answer.status } -> "an answer that none made"
+            isSuccess && made.none { answer.body == wholeBody(got.id, it.body) } -> "another body"
+            else -> null
         }
-        return "$id: $problem: ${answer.status} ${answer.headers} ${answer.body}; made: " +
-            cluster.firstAnswers(id).joinToString { "${it.instance} ${it.status}" }
+    }
+
+    private fun wholeBody(id: String, body: String): String {
+        if (!id.startsWith("stream")) return body
+        return (1..StutteringServerStandIn.STREAM_EVENTS)
+            .joinToString("") { RouteServerStandIn.event(it, id) }
     }
 
     private fun isLast(got: Received) = received.last { it.id == got.id } === got
--- a/bench/src/test/kotlin/org/pomeloladder/bench/RetryBudgetCluster.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/RetryBudgetCluster.kt
@@ -4,7 +4,6 @@
  */
 package org.pomeloladder.bench
 
-import java.io.IOException
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
@@ -97,14 +96,9 @@
 
     private fun run(random: Random, load: RetryLoad) {
         while (isRunning) {
-            try {
-                val address = processes[random.nextInt(processes.size)].callers
-                SoakConnection(address.host, address.port).use {
-                    while (isRunning && call(it, random, load)) Unit
-                }
-            } catch (_: IOException) {
-                Thread.sleep(RECONNECT_MS)
-            }
+            val address = processes[random.nextInt(processes.size)].callers
+            val isEnded = useConnection(address) { isRunning && call(it, random, load) }
+            if (!isEnded) Thread.sleep(RECONNECT_MS)
         }
     }
 
--- a/bench/src/test/kotlin/org/pomeloladder/bench/SoakCallers.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/SoakCallers.kt
@@ -14,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 import kotlin.random.Random
+import org.pomeloladder.configuration.Address
 import org.pomeloladder.standins.RouteServerStandIn
 
 /** A response. [status] is 0 if none arrived; [isComplete] is false if the body was cut off. */
@@ -113,6 +114,17 @@
     }
 }
 
+/**
+ * Calls [callNext] on one connection to [address] until it returns false. Returns false if the
+ * connection was lost before.
+ */
+internal fun useConnection(address: Address, callNext: (SoakConnection) -> Boolean): Boolean = try {
+    SoakConnection(address.host, address.port).use { while (callNext(it)) Unit }
+    true
+} catch (_: IOException) {
+    false
+}
+
 /** Threads that send requests until [stop]. */
 internal class SoakCallers(private val cluster: SoakCluster, private val seed: Long) {
     private val statuses = ConcurrentHashMap<String, Int>()
@@ -190,18 +202,13 @@
     private fun run(random: Random, isPatient: Boolean, isActive: () -> Boolean) {
         while (isActive()) {
             val vm = cluster.vms[random.nextInt(cluster.vms.size)]
-            val address = vm.process.callers
             try {
-                SoakConnection(address.host, address.port).use { connection ->
-                    var isReusable = true
-                    while (isReusable && isActive()) {
-                        isReusable = callNext(connection, random, isPatient)
-                    }
+                val isEnded = useConnection(vm.process.callers) {
+                    isActive() && callNext(it, random, isPatient)
                 }
+                if (!isEnded) Thread.sleep(if (isPatient) RECONNECT_MS else IMPATIENT_RECONNECT_MS)
             } catch (e: MalformedResponse) {
                 record(e)
-            } catch (_: IOException) {
-                Thread.sleep(if (isPatient) RECONNECT_MS else IMPATIENT_RECONNECT_MS)
             }
         }
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -273,7 +273,7 @@
             needsFreshConnection = !call.route.isRepeatable,
             kvCopySource = choice.source?.holder?.record?.address,
         )
-        issueSend(tick, call, send, target, CONNECT_TIMEOUT_MS, replaced, details)
+        issueSend(tick, call, send, target, replaced, details)
     }
 
     /** Log fields for what this process knows of the chosen server when it sends [prompt] there. */
@@ -333,7 +333,7 @@
             service = call.service,
         )
         val details = retryDetails(world, tick, call)
-        issueSend(tick, call, send, target, PEER_CONNECT_TIMEOUT_MS, replaced, details)
+        issueSend(tick, call, send, target, replaced, details)
     }
 
     private fun newSend(
@@ -354,7 +354,6 @@
         call: Call,
         send: Send,
         target: SendTarget,
-        connectTimeoutMs: Long,
         replaced: ReplacedSend?,
         extraDetails: Map<String, Any?>,
     ) {
@@ -368,7 +367,7 @@
                 remainingMs = remainingMs,
                 priority = call.route.priority,
                 isStream = call.route.kind == RouteKind.STREAMING,
-                connectTimeoutMs = minOf(connectTimeoutMs, remainingMs),
+                connectTimeoutMs = minOf(connectTimeoutMs(target), remainingMs),
                 replaces = replaced,
             ),
         )
@@ -386,6 +385,11 @@
         tick.journal.log(LogEvent.CALL_SENT, details + extraDetails)
     }
 
+    private fun connectTimeoutMs(target: SendTarget) = when (target) {
+        is SendTarget.Server -> CONNECT_TIMEOUT_MS
+        is SendTarget.Peer -> PEER_CONNECT_TIMEOUT_MS
+    }
+
     private fun retryAfterMs(waitMs: Double) =
         (waitMs / 2).toLong().coerceIn(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
 
