--- a/bench/src/test/kotlin/org/pomeloladder/bench/RetryBudgetCluster.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/RetryBudgetCluster.kt
@@ -40,7 +40,6 @@
             }
         }
     }
-    private val sharedPorts = GatewayPorts()
     private val portsOfNetworks = HashMap<Int, GatewayPorts>()
     private val requestTimesMs = SERVICES.associateWith { ConcurrentLinkedQueue<Long>() }
     private val nextId = AtomicInteger()
@@ -51,14 +50,7 @@
 
     val processes by lazy {
         vms.map { vm ->
-            val ports =
-                if (vm.network ==
-                    0
-                ) {
-                    sharedPorts
-                } else {
-                    portsOfNetworks.getOrPut(vm.network) { GatewayPorts() }
-                }
+            val ports = portsOfNetworks.getOrPut(vm.network) { GatewayPorts() }
             GatewayProcess(vm.number, vm.region, ports, store.address, bounds, seedNumbers)
         }
     }
