--- a/bench/src/test/kotlin/org/pomeloladder/bench/RetryBudgetAudit.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/RetryBudgetAudit.kt
@@ -40,6 +40,10 @@
         .flatMap { sameRequest -> sameRequest.map { it.atMs }.sorted().drop(1) }
         .sorted()
 
+    /** Number of arrivals beyond the first of each request in the whole time. */
+    val extraArrivals: Int
+        get() = extraTimesMs.size
+
     /** Returns the worst window, or null when no request arrived twice. */
     fun worstWindow(): RetryWindow? =
         extraTimesMs.map { windowFrom(it) }.maxByOrNull { it.extraArrivals - it.allowed }
