--- a/standins/src/main/kotlin/org/pomeloladder/standins/StoreStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/StoreStandIn.kt
@@ -7,6 +7,7 @@
 
 import java.util.Base64
 import java.util.TreeMap
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
@@ -34,6 +35,14 @@
     private var revision = 1L
     private var historyStart = 1L
     private val listener = LoopbackListener(0, handler())
+    private val closed = CountDownLatch(1)
+
+    /**
+     * While true, nothing is answered. Requests that arrive or become due meanwhile stay without an
+     * answer afterwards, too.
+     */
+    @Volatile
+    var isSilent = false
 
     /** While true, every request is answered with 503 (service unavailable). */
     @Volatile
@@ -44,7 +53,10 @@
 
     override fun start() = listener.start()
 
-    override fun close() = listener.close()
+    override fun close() {
+        closed.countDown()
+        listener.close()
+    }
 
     fun put(key: String, value: String) = write(key, value)
 
@@ -67,12 +79,17 @@
     }
 
     private fun handler(): HttpHandler = { request ->
-        when {
-            isRefusing -> Response(Status.SERVICE_UNAVAILABLE)
-            request.uri.path == "/pomeloladder/kv-range" -> range(request)
-            request.uri.path == "/pomeloladder/kv-watch" -> watch(request)
-            else -> Response(Status.NOT_FOUND)
-        }
+        if (isSilent) closed.await()
+        val response = answer(request)
+        if (isSilent) closed.await()
+        response
+    }
+
+    private fun answer(request: Request): Response = when {
+        isRefusing -> Response(Status.SERVICE_UNAVAILABLE)
+        request.uri.path == "/pomeloladder/kv-range" -> range(request)
+        request.uri.path == "/pomeloladder/kv-watch" -> watch(request)
+        else -> Response(Status.NOT_FOUND)
     }
 
     private fun range(request: Request): Response = lock.withLock {
