Log why the platform and the views of peers are not read

Line 204 has the cause now, 206 reports a view that a peer did not send, and 207 a configuration that cannot be decoded. No decision changes.

--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/LogEvent.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/LogEvent.kt
@@ -29,6 +29,8 @@
     CONFIG_OLDER_IGNORED(203, Severity.WARN, "older configuration ignored"),
     PLATFORM_UNREACHABLE(204, Severity.WARN, "platform service does not answer"),
     PLATFORM_REACHABLE(205, Severity.INFO, "platform service answers again"),
+    PEER_VIEW_MISSING(206, Severity.WARN, "view of a peer not received"),
+    CONFIG_UNREADABLE(207, Severity.ERROR, "published configuration cannot be decoded"),
     VM_SUSPECTED(300, Severity.WARN, "entry VM suspected"),
     VM_LIVE(301, Severity.INFO, "entry VM live"),
     VM_DEAD(302, Severity.WARN, "entry VM considered dead"),
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
@@ -120,8 +120,15 @@
 /** The sender of a view. */
 enum class ViewSource { PLATFORM, PEER }
 
-/** Whether the platform answered the last request. */
-data class PlatformReachability(val isReachable: Boolean) : GatewayEvent
+/** The peer at [from] did not send its view. */
+data class ViewNotReceived(val from: Address, val cause: String) : GatewayEvent
+
+/** The configuration that the platform published at [revision] cannot be decoded. */
+data class ConfigurationUnreadable(val revision: Long) : GatewayEvent
+
+/** Whether the platform answered the last request, and the [cause] if it did not. */
+data class PlatformReachability(val isReachable: Boolean, val cause: String? = null) :
+    GatewayEvent
 
 /**
  * A health check completed. [coldForMs] is null when the server did not answer in time. [isRefused]
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
@@ -36,21 +36,33 @@
     private var lastFetchMs = Long.MIN_VALUE / 2
 
     override fun run(world: GatewayWorld, tick: GatewayTick) {
-        tick.each<PlatformReachability> { updateReachability(world, tick, it.isReachable) }
+        tick.each<PlatformReachability> { updateReachability(world, tick, it) }
+        tick.each<ConfigurationUnreadable> {
+            tick.journal.log(LogEvent.CONFIG_UNREADABLE, mapOf("revision" to it.revision))
+        }
+        tick.each<ViewNotReceived> {
+            val details = mapOf("peer" to it.from, "cause" to it.cause)
+            tick.journal.log(LogEvent.PEER_VIEW_MISSING, details)
+        }
         tick.each<ViewReceived> { apply(world, tick, it) }
         removeMissing(world, tick)
         fetchFromPeer(world, tick)
     }
 
-    private fun updateReachability(world: GatewayWorld, tick: GatewayTick, isReachable: Boolean) {
-        if (world.process.isPlatformReachable == isReachable) return
-        world.process.isPlatformReachable = isReachable
-        val event = if (isReachable) {
-            LogEvent.PLATFORM_REACHABLE
+    private fun updateReachability(
+        world: GatewayWorld,
+        tick: GatewayTick,
+        platform: PlatformReachability,
+    ) {
+        if (world.process.isPlatformReachable == platform.isReachable) return
+        world.process.isPlatformReachable = platform.isReachable
+        val revision = world.process.view?.revision
+        if (platform.isReachable) {
+            tick.journal.log(LogEvent.PLATFORM_REACHABLE, mapOf("revision" to revision))
         } else {
-            LogEvent.PLATFORM_UNREACHABLE
+            val details = mapOf("revision" to revision, "cause" to platform.cause)
+            tick.journal.log(LogEvent.PLATFORM_UNREACHABLE, details)
         }
-        tick.journal.log(event, mapOf("revision" to world.process.view?.revision))
     }
 
     private fun apply(world: GatewayWorld, tick: GatewayTick, received: ViewReceived) {
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -65,6 +65,7 @@
 import org.pomeloladder.gateway.StartSend
 import org.pomeloladder.gateway.StopGateway
 import org.pomeloladder.gateway.TrafficDelay
+import org.pomeloladder.gateway.ViewNotReceived
 import org.pomeloladder.gateway.ViewReceived
 import org.pomeloladder.gateway.ViewSource
 import org.pomeloladder.runtime.EventSinkOf
@@ -483,9 +484,19 @@
     private fun fetchView(from: Address) {
         val views = Address(from.host, addresses.views.port)
         fetcher.get(views, VIEW_PATH, VIEW_TIMEOUT_MS) { result ->
-            if (result is FetchResult.Completed && result.status == Status.OK.code) {
-                decodeView(result.body)?.let { events.post(ViewReceived(it, ViewSource.PEER)) }
+            val event = when (result) {
+                is FetchResult.Failed -> ViewNotReceived(from, result.cause)
+                is FetchResult.Completed -> {
+                    val view = result.body.takeIf { result.status == Status.OK.code }
+                        ?.let(::decodeView)
+                    if (view == null) {
+                        ViewNotReceived(from, "no view with status ${result.status}")
+                    } else {
+                        ViewReceived(view, ViewSource.PEER)
+                    }
+                }
             }
+            events.post(event)
         }
     }
 
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/GatewayTrafficTest.kt
@@ -37,6 +37,7 @@
 import org.pomeloladder.gateway.SendTarget
 import org.pomeloladder.gateway.StartSend
 import org.pomeloladder.gateway.StopGateway
+import org.pomeloladder.gateway.ViewNotReceived
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.endsWith
@@ -669,6 +670,7 @@
 
             expectThat(traffic.malformedMessages.poll(10, TimeUnit.SECONDS)).isNotNull()
         }
+        expectThat(traffic.await<ViewNotReceived>().from).isEqualTo(Address(VIEWS_HOST, 1))
         traffic.request(traffic.caller(), "r1")
     }
 
