Ask another peer for its view when one does not send it

A VM that falls behind asked the nearest peer that is ahead each time, also when that peer was gone or did not answer, and kept an old configuration meanwhile. It now asks each peer that is ahead once before it asks one again, the nearest first.

Red before: the test's four requests all went to the same peer ([p:3, p:3], expected p and q).

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
@@ -6,6 +6,7 @@
 
 import org.pomeloladder.configuration.BackendServerId
 import org.pomeloladder.configuration.FailureDomainId
+import org.pomeloladder.configuration.VmId
 import org.pomeloladder.decisions.Counter
 import org.pomeloladder.decisions.LogEvent
 
@@ -35,6 +36,9 @@
     private var behindSinceMs: Long? = null
     private var lastFetchMs = Long.MIN_VALUE / 2
 
+    /** Peers asked for their view since this process fell behind. */
+    private val askedPeers = HashSet<VmId>()
+
     override fun run(world: GatewayWorld, tick: GatewayTick) {
         tick.each<PlatformReachability> { updateReachability(world, tick, it) }
         tick.each<ConfigurationUnreadable> {
@@ -177,11 +181,10 @@
 
     private fun fetchFromPeer(world: GatewayWorld, tick: GatewayTick) {
         val ownRevision = world.process.view?.revision ?: -1
-        val peerAhead = world.peers
-            .filter { it.isLive && it.revision > ownRevision }
-            .minByOrNull { it.roundTripMs }
-        if (peerAhead == null) {
+        val peersAhead = world.peers.filter { it.isLive && it.revision > ownRevision }
+        if (peersAhead.isEmpty()) {
             behindSinceMs = null
+            askedPeers.clear()
             return
         }
         val sinceMs = behindSinceMs ?: tick.nowMs.also { behindSinceMs = it }
@@ -191,7 +194,15 @@
             return
         }
         lastFetchMs = tick.nowMs
-        tick.emit(FetchView(peerAhead.identity.relay))
+        tick.emit(FetchView(selectPeer(peersAhead).identity.relay))
         tick.wakeAt(tick.nowMs + FETCH_INTERVAL_MS)
     }
+
+    /** Returns the nearest of [peers] that was not asked yet, since others may not answer. */
+    private fun selectPeer(peers: List<Peer>): Peer {
+        if (peers.all { it.vm in askedPeers }) askedPeers.clear()
+        val selected = peers.filter { it.vm !in askedPeers }.minBy { it.roundTripMs }
+        askedPeers += selected.vm
+        return selected
+    }
 }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ViewSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ViewSystemTest.kt
@@ -1,8 +1,10 @@
 package org.pomeloladder.gateway
 
 import org.junit.jupiter.api.Test
+import org.pomeloladder.configuration.Address
 import org.pomeloladder.configuration.FailureDomainId
 import strikt.api.expectThat
+import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
@@ -76,6 +78,24 @@
         expectThat(commands.only<FetchView>().from).isEqualTo(identity("p", NORTH).relay)
     }
 
+    // Guards against asking a peer again and again that is gone or does not answer, while others
+    // have the newer view.
+    @Test
+    fun `a peer that did not send its view is not asked again before the others`() {
+        gateway.publish(1, catalog(lookup))
+        val peers = listOf(identity("p", NORTH), identity("q", SOUTH))
+        val asked = ArrayList<Address>()
+        repeat(4) {
+            gateway.nowMs += 800
+            peers.forEach { peer ->
+                asked += gateway.receiveGossip(peer) { it.copy(revision = 9) }.all<FetchView>()
+                    .map { it.from }
+            }
+        }
+
+        expectThat(asked.take(2)).containsExactlyInAnyOrder(peers.map { it.relay })
+    }
+
     @Test
     fun `servers of a returned domain get a health check first to protect cold ones`() {
         val north = FailureDomainId("north-a")
