--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -105,6 +105,7 @@
     var isDraining = false
     var isReady = false
     var revision = 0L
+    var catalogVersion = 0L
     var roundTripMs = 0.0
 
     /**
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/EntrySystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/EntrySystem.kt
@@ -16,6 +16,7 @@
         val isReady: Boolean,
         val isDraining: Boolean,
         val revision: Long?,
+        val catalogVersion: Long?,
         val membershipVersion: Long,
     )
 
@@ -27,6 +28,7 @@
             isReady = process.isReady,
             isDraining = process.isDraining,
             revision = process.view?.revision,
+            catalogVersion = process.view?.catalog?.version,
             membershipVersion = process.membershipVersion,
         )
         if (current == inputs) return
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
@@ -111,6 +111,8 @@
     @SerialName("j") val cached: List<CachedPart> = emptyList(),
     @SerialName("k") val others: List<PeerAddress> = emptyList(),
     @SerialName("l") val evidence: List<PartEvidence> = emptyList(),
+    /** The configuration in force, which may be older than [revision] suggests. */
+    @SerialName("m") val catalogVersion: Long = 0,
 )
 
 /** A VM that the sender considers live, listed for peers that do not know it yet. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
@@ -178,6 +178,7 @@
             peer.identity = from
             peer.latestSentMs = 0
             peer.revision = 0
+            peer.catalogVersion = 0
             world.process.membershipVersion++
         }
         removeReplaced(world, from)
@@ -191,6 +192,7 @@
         peer.isReady = message.isReady
         peer.isLinkWanted = echo.isLinkWanted
         peer.revision = message.revision
+        peer.catalogVersion = message.catalogVersion
         peer.services = message.services.associateBy { it.service }
         peer.shares = message.shares
         peer.relayedSinceDatagram = 0
@@ -316,6 +318,7 @@
             isDraining = world.process.isDraining,
             isReady = world.process.isReady,
             revision = view?.revision ?: 0,
+            catalogVersion = view?.catalog?.version ?: 0,
             shares = if (isLocal) loadShares(world, tick) else emptyList(),
             services = if (isLocal) emptyList() else serviceLoads(world, tick),
             cached = if (isLocal) world.recentlyCached.takeLast(MAX_CACHED_PARTS) else emptyList(),
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PublishedView.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PublishedView.kt
@@ -37,4 +37,16 @@
     val catalog: Catalog,
     val backends: List<BackendRecord>,
     val evacuated: Set<FailureDomainId>,
-)
+) {
+    /**
+     * Returns this view with what [other] has of a newer version or revision, or this view if it has
+     * nothing newer. Catalog and servers are compared apart, since a VM that cannot decode the
+     * newest catalog still follows the servers.
+     */
+    fun updatedBy(other: PublishedView): PublishedView {
+        val isCatalogNewer = other.catalog.version > catalog.version
+        if (!isCatalogNewer && other.revision <= revision) return this
+        val latest = if (other.revision > revision) other else this
+        return latest.copy(catalog = if (isCatalogNewer) other.catalog else catalog)
+    }
+}
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
@@ -1,6 +1,6 @@
 /*
  * Applies views of what the platform publishes, received from the platform or from a peer, and
- * updates the table of backend servers accordingly. An older view never replaces a newer one.
+ * updates the table of backend servers accordingly. Nothing older replaces anything newer.
  */
 package org.pomeloladder.gateway
 
@@ -36,6 +36,9 @@
     private var behindSinceMs: Long? = null
     private var lastFetchMs = Long.MIN_VALUE / 2
 
+    /** The last catalog version that was not taken because a newer one is in force. */
+    private var lastIgnoredVersion: Long? = null
+
     /** Peers asked for their view since this process fell behind. */
     private val askedPeers = HashSet<VmId>()
 
@@ -71,13 +74,9 @@
 
     private fun apply(world: GatewayWorld, tick: GatewayTick, received: ViewReceived) {
         val before = world.process.view
-        val view = received.view
-        if (before != null && view.revision <= before.revision) return
-        if (before != null && view.catalog.version < before.catalog.version) {
-            val details = mapOf("version" to view.catalog.version, "revision" to view.revision)
-            tick.journal.log(LogEvent.CONFIG_OLDER_IGNORED, details)
-            return
-        }
+        val view = before?.updatedBy(received.view) ?: received.view
+        if (view === before) return
+        if (view.catalog.version > received.view.catalog.version) logOlder(tick, received.view)
         world.process.view = view
         if (before?.catalog?.version != view.catalog.version) logCatalog(tick, received)
         val restored = before?.evacuated.orEmpty() - view.evacuated
@@ -87,6 +86,13 @@
         updateBackends(world, tick, view, restored)
     }
 
+    private fun logOlder(tick: GatewayTick, view: PublishedView) {
+        if (view.catalog.version == lastIgnoredVersion) return
+        lastIgnoredVersion = view.catalog.version
+        val details = mapOf("version" to view.catalog.version, "revision" to view.revision)
+        tick.journal.log(LogEvent.CONFIG_OLDER_IGNORED, details)
+    }
+
     private fun logCatalog(tick: GatewayTick, received: ViewReceived) {
         val details = mapOf(
             "version" to received.view.catalog.version,
@@ -180,8 +186,12 @@
     }
 
     private fun fetchFromPeer(world: GatewayWorld, tick: GatewayTick) {
-        val ownRevision = world.process.view?.revision ?: -1
-        val peersAhead = world.peers.filter { it.isLive && it.revision > ownRevision }
+        val view = world.process.view
+        val ownRevision = view?.revision ?: -1
+        val ownVersion = view?.catalog?.version ?: -1
+        val peersAhead = world.peers.filter {
+            it.isLive && (it.revision > ownRevision || it.catalogVersion > ownVersion)
+        }
         if (peersAhead.isEmpty()) {
             behindSinceMs = null
             askedPeers.clear()
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ViewSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ViewSystemTest.kt
@@ -8,6 +8,7 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
 
 class ViewSystemTest {
     private val gateway = TestGateway()
@@ -30,6 +31,17 @@
         expectThat(gateway.world.catalog?.version).isEqualTo(3)
     }
 
+    // Guards against servers that leave unnoticed, because a VM that cannot decode the newest
+    // configuration publishes the one before it with each change.
+    @Test
+    fun `servers are updated by a newer revision whose catalog is older`() {
+        gateway.publish(5, catalog(lookup, version = 3), server("a"), source = ViewSource.PEER)
+        gateway.publish(6, catalog(version = 2), server("a") { it.copy(isDraining = true) })
+
+        expectThat(gateway.world.catalog?.version).isEqualTo(3)
+        expectThat(gateway.world.backends.single().record.isDraining).isTrue()
+    }
+
     @Test
     fun `a server whose entry expired and reappeared stays in use`() {
         gateway.publish(1, catalog(lookup), server("a"))
