Give up reads of the platform that hang within the bounds in the subscriber gateway

The subscriber gateway gave such a read up after 15 s and repeated it a second later, though a change must be in force within 9 s and a leaving server must get nothing new after 3 s. Configuration and VM lists now have clients with limits of their own, and the interval between reads of the lists counts from their start.

Red before: the next read of /config/entries came after 16,010 ms (bound 9,000), those of /vms/entry and /vms/backends after 16,007 and 16,008 ms (bound 3,000).

--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/RealPlatformReader.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/RealPlatformReader.kt
@@ -11,6 +11,7 @@
 import kotlinx.serialization.SerializationException
 import org.eclipse.jetty.client.HttpClient
 import org.http4k.client.JettyClient
+import org.http4k.core.HttpHandler
 import org.http4k.core.Method
 import org.http4k.core.Request
 import org.pomeloladder.configuration.Address
@@ -24,12 +25,19 @@
 import org.pomeloladder.decisions.PlatformHealth
 import org.pomeloladder.decisions.VmListUpdate
 
-/** Time for which the configuration service may hold a request while it has no new entries. */
-private const val LONG_POLL_MS = 10_000L
+/**
+ * Time for which the configuration service may hold a request while it has no new entries. A read
+ * that is never answered looks like one that is held. It is given up and repeated within 9 s, in
+ * which a change must be in force everywhere.
+ */
+private const val LONG_POLL_MS = 4_000L
+private const val CONFIGURATION_TIMEOUT_MS = 6_000L
 private const val NANOS_PER_MS = 1_000_000L
-private const val READ_TIMEOUT_MS = 15_000L
 private const val CONNECT_TIMEOUT_MS = 2_000L
 
+/** Time for each of the two VM lists, of whose changes some must be in force within 3 s. */
+private const val VM_LIST_TIMEOUT_MS = 1_000L
+
 /** Delay after a failed read, to avoid flooding an unavailable service with requests. */
 private const val RETRY_DELAY_MS = 1_000L
 
@@ -52,13 +60,8 @@
     private val domain: FailureDomainId,
     private val events: EventSink,
 ) : PlatformReader {
-    private val client = JettyClient(
-        HttpClient().apply {
-            connectTimeout = CONNECT_TIMEOUT_MS
-            idleTimeout = READ_TIMEOUT_MS
-            userAgentField = null
-        },
-    )
+    private val configurationClient = clientWithTimeout(CONFIGURATION_TIMEOUT_MS)
+    private val listClient = clientWithTimeout(VM_LIST_TIMEOUT_MS)
     private val lock = ReentrantLock()
     private val watchChanged = lock.newCondition()
     private var isWatching = false
@@ -86,9 +89,18 @@
     override fun close() {
         isClosed = true
         readerThreads.forEach(Thread::interrupt)
-        client.close()
+        configurationClient.close()
+        listClient.close()
     }
 
+    private fun clientWithTimeout(timeoutMs: Long) = JettyClient(
+        HttpClient().apply {
+            connectTimeout = minOf(CONNECT_TIMEOUT_MS, timeoutMs)
+            idleTimeout = timeoutMs
+            userAgentField = null
+        },
+    )
+
     private fun readConfiguration() = repeatWhileWatching {
         val startNanos = System.nanoTime()
         val after = lock.withLock { lastSequence }
@@ -113,26 +125,29 @@
         listOfNotNull(first, second).maxOrNull()
 
     private fun readVmLists() = repeatWhileWatching {
-        val entries = get<EntryVmList>("/vms/entry")
-        val servers = get<BackendServerList>("/vms/backends/$domain")
+        val startNanos = System.nanoTime()
+        val entries = listClient.get<EntryVmList>("/vms/entry")
+        val servers = listClient.get<BackendServerList>("/vms/backends/$domain")
         if (entries != null || servers != null) events.post(VmListUpdate(entries, servers))
-        Thread.sleep(VM_LIST_INTERVAL_MS)
+        val elapsedMs = (System.nanoTime() - startNanos) / NANOS_PER_MS
+        if (elapsedMs < VM_LIST_INTERVAL_MS) Thread.sleep(VM_LIST_INTERVAL_MS - elapsedMs)
     }
 
     private fun readSnapshot(): ConfigLogPage? =
-        get<ConfigSnapshot>("/config/snapshot")?.let { ConfigLogPage(snapshot = it) }
+        configurationClient.get<ConfigSnapshot>("/config/snapshot")?.let { ConfigLogPage(snapshot = it) }
 
     /** Reads the entries after [after], or a snapshot if the log no longer contains all of them. */
     private fun readEntries(after: ConfigSequence): ConfigLogPage? {
-        val page = get<ConfigLogPage>("/config/entries?after=$after&waitMs=$LONG_POLL_MS")
+        val path = "/config/entries?after=$after&waitMs=$LONG_POLL_MS"
+        val page = configurationClient.get<ConfigLogPage>(path)
         val first = page?.entries?.firstOrNull()?.sequence ?: return page
         val isGap = page.snapshot == null && first > after.next()
         return if (isGap) readSnapshot() else page
     }
 
-    private inline fun <reified T> get(path: String): T? {
+    private inline fun <reified T> HttpHandler.get(path: String): T? {
         val response = try {
-            client(Request(Method.GET, "http://$platform$path"))
+            this(Request(Method.GET, "http://$platform$path"))
         } catch (_: ExecutionException) {
             // http4k throws if the service closes the connection; uncaught, that ends this thread.
             return null
