--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/RealPlatformReader.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/RealPlatformReader.kt
@@ -134,7 +134,9 @@
     }
 
     private fun readSnapshot(): ConfigLogPage? =
-        configurationClient.get<ConfigSnapshot>("/config/snapshot")?.let { ConfigLogPage(snapshot = it) }
+        configurationClient.get<ConfigSnapshot>("/config/snapshot")?.let {
+            ConfigLogPage(snapshot = it)
+        }
 
     /** Reads the entries after [after], or a snapshot if the log no longer contains all of them. */
     private fun readEntries(after: ConfigSequence): ConfigLogPage? {
