Read and log the limit that a backend server names

Server-Limit was a header like any other. An answer without it ends it only if its send began after the limit was last named, since answers overlap. No decision uses it yet.

--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/LogEvent.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/LogEvent.kt
@@ -55,6 +55,8 @@
     PART_QUARANTINED(414, Severity.WARN, "prompt part quarantined"),
     PART_RELEASED(415, Severity.INFO, "prompt part released from quarantine"),
     PART_PROBED(416, Severity.INFO, "quarantined prompt part sent once as a test"),
+    BACKEND_LIMITED(417, Severity.WARN, "backend server named a limit"),
+    BACKEND_UNLIMITED(418, Severity.INFO, "limit of a backend server ended"),
     ORDER_UNKNOWN(500, Severity.WARN, "outcome of an order is unknown"),
     ORDER_WITHDRAWN(501, Severity.INFO, "order withdrawn before dispatch"),
     ENGINE_ORDER_SENT(600, Severity.INFO, "engine order sent"),
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -41,6 +41,8 @@
     fun freshReport(nowMs: Long): LoadReport? =
         lastReport?.takeIf { nowMs - lastReportMs < REPORT_VALID_MS }
 
+    val limit = ServerLimit()
+
     /** Moving average of the failures that this process observed, from 0 to 1. */
     var failureRate = 0.0
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
@@ -35,12 +35,16 @@
 
 /**
  * The first event of a streamed answer, or the response head of any other answer, was received and
- * accepted.
+ * accepted. [limitPerS] is the limit that the server named in it, if any.
  */
-data class AnswerStarted(val send: SendId, val load: LoadReport?) : GatewayEvent
+data class AnswerStarted(
+    val send: SendId,
+    val load: LoadReport?,
+    val limitPerS: Double? = null,
+) : GatewayEvent
 
 /**
- * A send ended. [events] counts the events of its stream, and [longestGapMs] is the longest time
+ * A send ended. [limitPerS] is the limit that the server named in its answer, if any. [events] counts the events of its stream, and [longestGapMs] is the longest time
  * between two of them. [headMs] is the time from the request to the head of its answer, or null
  * when no head arrived. [hasBegun] tells whether any byte of the answer arrived, and [contentAgeMs]
  * is the time since its first event or body byte. No further event refers to this send.
@@ -54,6 +58,7 @@
     val headMs: Long? = null,
     val hasBegun: Boolean = headMs != null,
     val contentAgeMs: Long? = null,
+    val limitPerS: Double? = null,
 ) : GatewayEvent
 
 /** No byte of an answer, awaited or already started, arrived for [idleMs]. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -36,6 +36,7 @@
         val backend = backendOf(world, send) ?: return
         backend.lastHeardMs = tick.nowMs
         recordReport(backend, event.load, tick.nowMs)
+        recordLimit(tick, backend, send, event.limitPerS, isComplete = true)
         backend.pending.add(send.priority, -send.pendingTokens)
         updatePromptRate(world.service(call.service), send, tick.nowMs)
         send.pendingTokens = 0
@@ -95,6 +96,11 @@
         if (backend != null) {
             recordReport(backend, event.load, tick.nowMs)
             updateFailureRate(backend, event.outcome)
+            // The head of a stream was recorded when it started, and may be old by now.
+            if (!send.isStarted && isOwnAnswer(event.outcome)) {
+                val isComplete = event.outcome is SendOutcome.Answered
+                recordLimit(tick, backend, send, event.limitPerS, isComplete)
+            }
         }
         if (call == null) return
         call.replacementSend?.let { replacement ->
@@ -310,6 +316,28 @@
         backend.lastReportMs = nowMs
     }
 
+    /** Whether [outcome] is an answer of the server that the send was meant for. */
+    private fun isOwnAnswer(outcome: SendOutcome) = outcome is SendOutcome.Answered ||
+        outcome is SendOutcome.NotRun && outcome.reason != NotRunReason.WRONG_INSTANCE
+
+    /**
+     * Records the limit that an answer of [backend] named. One without a limit ends it only when
+     * the answer [isComplete] and its send began after the limit was last named.
+     */
+    private fun recordLimit(
+        tick: GatewayTick,
+        backend: Backend,
+        send: Send,
+        limitPerS: Double?,
+        isComplete: Boolean,
+    ) {
+        val limit = backend.limit
+        if (limitPerS == null && !(isComplete && send.startedMs > limit.observedMs)) return
+        if (!limit.observe(limitPerS, tick.nowMs)) return
+        val event = if (limitPerS != null) LogEvent.BACKEND_LIMITED else LogEvent.BACKEND_UNLIMITED
+        tick.journal.log(event, mapOf("server" to backend.id, "perS" to limitPerS))
+    }
+
     private fun markAvoided(call: Call, send: Send) {
         when (val place = send.place) {
             is SendPlace.AtServer -> call.avoidedServers += place.server
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
@@ -159,6 +159,7 @@
         }
         if (record.startedAtUnixMs != before.startedAtUnixMs) {
             backend.cache.clear()
+            backend.limit.clear()
             backend.drainingSinceMs = null
             backend.unreachableUntilMs = 0
             backend.isReplaced = false
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -48,7 +48,6 @@
 import org.pomeloladder.gateway.GatewayEvent
 import org.pomeloladder.gateway.GossipReceived
 import org.pomeloladder.gateway.HealthChecked
-import org.pomeloladder.gateway.LoadReport
 import org.pomeloladder.gateway.NotWrittenReason
 import org.pomeloladder.gateway.PublishEntryView
 import org.pomeloladder.gateway.PublishedView
@@ -421,8 +420,8 @@
         eventGaps[target.id] = EventGaps(previous.count + 1, totalMs)
     }
 
-    override fun onResponseStarted(send: ActiveSend, load: LoadReport?) =
-        events.post(AnswerStarted(send.id, load))
+    override fun onResponseStarted(send: ActiveSend, head: ResponseHead) =
+        events.post(AnswerStarted(send.id, head.load, head.limitPerS))
 
     override fun onHeldBytesChanged(send: ActiveSend) {
         if (send.id !in sends) return
@@ -436,7 +435,7 @@
     override fun onSendEnded(
         send: ActiveSend,
         outcome: SendOutcome,
-        load: LoadReport?,
+        head: ResponseHead?,
         connection: ServerConnection?,
     ) {
         sends.remove(send.id)?.let { totalHeldBytes -= it.accountedBytes }
@@ -447,7 +446,8 @@
         val ended = SendEnded(
             send = send.id,
             outcome = outcome,
-            load = load,
+            load = head?.load,
+            limitPerS = head?.limitPerS,
             events = send.forwardedEvents,
             longestGapMs = longestGapMs,
             headMs = send.headMs,
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -27,7 +27,6 @@
 import java.io.ByteArrayOutputStream
 import org.pomeloladder.decisions.RequestId
 import org.pomeloladder.gateway.BreakReason
-import org.pomeloladder.gateway.LoadReport
 import org.pomeloladder.gateway.NotRunReason
 import org.pomeloladder.gateway.ReplacedSend
 import org.pomeloladder.gateway.SendId
@@ -99,7 +98,7 @@
     fun onProgress(target: SendTarget)
 
     /** The first event of a stream was forwarded. */
-    fun onResponseStarted(send: ActiveSend, load: LoadReport?)
+    fun onResponseStarted(send: ActiveSend, head: ResponseHead)
 
     /** An event arrived [gapNanos] after the previous one. */
     fun onEventGap(target: SendTarget, gapNanos: Long)
@@ -107,11 +106,13 @@
     /** [ActiveSend.heldBytes] of [send] changed. */
     fun onHeldBytesChanged(send: ActiveSend)
 
-    /** [send] ended. [connection] is null if it cannot be reused. */
+    /**
+     * [send] ended. [head] is null if none arrived, and [connection] if it cannot be reused.
+     */
     fun onSendEnded(
         send: ActiveSend,
         outcome: SendOutcome,
-        load: LoadReport?,
+        head: ResponseHead?,
         connection: ServerConnection?,
     )
 
@@ -432,7 +433,7 @@
         if (!active.hasForwardedEvent) {
             active.hasForwardedEvent = true
             active.recordContent()
-            listener.onResponseStarted(active, responseHead.load)
+            listener.onResponseStarted(active, responseHead)
         }
         // Events without an id and events that the caller already has are not progress: a server
         // could send them forever.
@@ -509,11 +510,11 @@
         !isUnframed()
 
     private fun finish(outcome: SendOutcome) {
-        val load = head?.load
+        val lastHead = head
         val active = detachSend() ?: return
         idleSinceNanos = System.nanoTime()
         val isReused = isReusable && channel.isActive && !codec.hasUndecodedBytes
-        listener.onSendEnded(active, outcome, load, if (isReused) this else null)
+        listener.onSendEnded(active, outcome, lastHead, if (isReused) this else null)
         if (!isReused && channel.isActive) close()
     }
 
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/WireFormat.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/WireFormat.kt
@@ -23,6 +23,8 @@
     val isWrongInstance: Boolean,
     val hasContentEncoding: Boolean,
     val load: LoadReport?,
+    /** Requests a second that the server takes from all processes, if it names a limit. */
+    val limitPerS: Double? = null,
 ) {
     val isSuccess: Boolean
         get() = status in SUCCESS_STATUSES
