--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
@@ -50,6 +50,10 @@
     /** Number of starts; a new one is a new incarnation. */
     var starts = 1L
 
+    /** The limit that the engine names in its answers, and the times at which calls reached it. */
+    var limitPerS: Double? = null
+    val arrivalTimesMs = ArrayList<Long>()
+
     fun isUp(nowMs: Long) = nowMs >= upAtMs
 
     fun crash(nowMs: Long) {
@@ -82,7 +86,7 @@
 internal class TestFleet(vmsPerRegion: Int, enginesPerRegion: Int) {
     private class Action(val atMs: Long, val order: Long, val run: () -> Unit)
 
-    private class Vm(val identity: PeerIdentity, val gateway: TestGateway) {
+    private class Vm(var identity: PeerIdentity, var gateway: TestGateway) {
         val inbox = ArrayList<GatewayEvent>()
 
         /** For each relayed call, the process that relayed it and its send. */
@@ -91,10 +95,12 @@
 
     private val regions = listOf(NORTH, SOUTH, EAST)
     private val isolatedRegions = HashSet<RegionId>()
+    private val isolatedVms = HashSet<VmId>()
     private val scheduled = PriorityQueue<Action>(compareBy<Action> { it.atMs }.thenBy { it.order })
     private var nextOrder = 0L
     private var nextCall = 0L
-    private var nowMs = 1_000L
+    var nowMs = 1_000L
+        private set
     private val vms = regions.flatMap { region ->
         List(vmsPerRegion) { i ->
             val identity = identity("$region-$i", region)
@@ -106,6 +112,7 @@
     private val arrivedMs = HashMap<RequestId, Long>()
     private var revision = 0L
     private var publishedService = MODEL
+    private var publishedView: PublishedView? = null
     private var publishedRoutes = emptyArray<Route>()
 
     /** A part that crashes each engine that begins to answer a prompt with it. */
@@ -129,6 +136,10 @@
 
     /** Calls of callers, by request, that ended with a refusal. */
     val refusals = LinkedHashMap<RequestId, CallRefusal>()
+
+    /** Times after which callers were told to come back, and the ages of refused calls. */
+    val retryAfterMs = ArrayList<Long?>()
+    val refusalAgesMs = ArrayList<Long>()
     private val requests = HashMap<Pair<VmId, CallId>, RequestId>()
 
     /** Called when a caller's call is refused. */
@@ -158,6 +169,7 @@
             }
         }
         val view = PublishedView(++revision, catalog(*publishedRoutes), records, emptySet())
+        publishedView = view
         vms.forEach { it.inbox += ViewReceived(view, ViewSource.PLATFORM) }
     }
 
@@ -174,12 +186,36 @@
         isolatedRegions += region
     }
 
+    /** Blocks all datagrams and relayed calls of process [index] of [region] from now on. */
+    fun isolate(region: RegionId, index: Int) {
+        isolatedVms += vmOf(region, index).identity.vm
+    }
+
+    /** Ends process [index] of [region] with all its calls, and starts it anew. */
+    fun restart(region: RegionId, index: Int) {
+        val vm = vmOf(region, index)
+        val incarnation = vm.identity.incarnation.value + 1
+        vm.identity = identity(vm.identity.vm.value, region, incarnation)
+        val seeds = vm.gateway.world.seeds
+        vm.gateway = TestGateway(incarnation.toInt(), self = vm.identity, uptimeMs = 0)
+        vm.gateway.nowMs = nowMs
+        vm.gateway.world.process.startedMs = nowMs
+        vm.gateway.world.seeds = seeds
+        vm.inbox.clear()
+        vm.relays.clear()
+        engines.forEach { engine -> engine.runs.keys.removeIf { it.vm == vm.identity.vm } }
+        vm.inbox += ViewReceived(checkNotNull(publishedView), ViewSource.PLATFORM)
+    }
+
+    private fun vmOf(region: RegionId, index: Int) =
+        vms.filter { it.identity.region == region }.let { it[index % it.size] }
+
     /**
      * Sends a call to process [vm] of [region], modulo the number of processes there, and returns
      * its request.
      */
     fun call(region: RegionId, vm: Int, route: Route, prompt: Prompt): RequestId {
-        val entry = vms.filter { it.identity.region == region }.let { it[vm % it.size] }
+        val entry = vmOf(region, vm)
         val id = RequestId("request-${++nextCall}")
         arrivedMs[id] = nowMs
         requestTimesMs += nowMs
@@ -239,6 +275,8 @@
         if (relay == null) {
             val request = requests[vm.identity.vm to command.call] ?: return
             refusals[request] = command.reason
+            retryAfterMs += command.retryAfterMs
+            refusalAgesMs += nowMs - arrivedMs.getValue(request)
             onRefused(request)
             return
         }
@@ -286,11 +324,13 @@
 
     private fun arrive(vm: Vm, start: StartSend, engine: TestEngine, spec: CallSpec) {
         arrivalTimesMs.getOrPut(spec.requestId) { ArrayList() } += nowMs
+        engine.arrivalTimesMs += nowMs
         if (rejections.nextDouble() >= rejectedShare) {
             return run(vm, start, engine, checkNotNull(spec.prompt))
         }
         val notRun = SendOutcome.NotRun(NotRunReason.FULL)
-        schedule(nowMs + LOCAL_DELAY_MS) { vm.inbox += SendEnded(start.send, notRun, null) }
+        val ended = SendEnded(start.send, notRun, null, limitPerS = engine.limitPerS)
+        schedule(nowMs + LOCAL_DELAY_MS) { vm.inbox += ended }
     }
 
     private fun run(vm: Vm, start: StartSend, engine: TestEngine, prompt: Prompt) {
@@ -308,7 +348,7 @@
                 schedule(nowMs + CRASH_DELAY_MS) { if (engine.runs[key] === run) crash(engine) }
                 return@schedule
             }
-            sendFirstEvent(vm, start, run)
+            sendFirstEvent(vm, start, run, engine.limitPerS)
             schedule(nowMs + answerMs) {
                 if (engine.runs.remove(key, run)) {
                     vm.inbox += SendEnded(start.send, SendOutcome.Answered(200), null)
@@ -317,9 +357,14 @@
         }
     }
 
-    private fun sendFirstEvent(vm: Vm, start: StartSend, run: TestRun) {
+    private fun sendFirstEvent(
+        vm: Vm,
+        start: StartSend,
+        run: TestRun,
+        limitPerS: Double? = null,
+    ) {
         run.firstEventAtMs = nowMs
-        reportAnswerStarted(vm, start)
+        reportAnswerStarted(vm, start, limitPerS)
     }
 
     fun upEngines() = engines.filter { it.isUp(nowMs) }
@@ -348,8 +393,8 @@
         )
     }
 
-    private fun reportAnswerStarted(vm: Vm, start: StartSend) {
-        vm.inbox += AnswerStarted(start.send, null)
+    private fun reportAnswerStarted(vm: Vm, start: StartSend, limitPerS: Double? = null) {
+        vm.inbox += AnswerStarted(start.send, null, limitPerS)
         val call = vm.gateway.world.calls[start.call] ?: return
         val relay = vm.relays[start.call]
         if (relay == null) {
@@ -373,6 +418,7 @@
         val a = from.identity.region
         val b = to.identity.region
         if (a != b && (a in isolatedRegions || b in isolatedRegions)) return
+        if (from.identity.vm in isolatedVms || to.identity.vm in isolatedVms) return
         schedule(nowMs + if (a == b) LOCAL_DELAY_MS else REMOTE_DELAY_MS, run)
     }
 
