--- a/bench/src/test/kotlin/org/pomeloladder/bench/SoakFaults.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/SoakFaults.kt
@@ -29,6 +29,9 @@
 
     /** Likewise for rejections, bursts, series of restarts and faults at stuttering servers. */
     private val newestKinds = Random(seed xor NEWEST_KINDS_SEED_MASK)
+
+    /** Likewise for silences of the store. */
+    private val latestKinds = Random(seed xor LATEST_KINDS_SEED_MASK)
     private val scheduler = Executors.newScheduledThreadPool(FAULT_THREADS)
     private val startedNanos = System.nanoTime()
 
@@ -43,6 +46,7 @@
             inject()
             if (laterKinds.nextInt(LATER_KINDS_INTERVAL) == 0) injectLaterKind()
             if (newestKinds.nextInt(NEWEST_KINDS_INTERVAL) == 0) injectNewestKind()
+            if (latestKinds.nextInt(LATEST_KINDS_INTERVAL) == 0) injectLatestKind()
         }
     }
 
@@ -51,6 +55,7 @@
         scheduler.shutdown()
         scheduler.awaitTermination(END_TIMEOUT_S, TimeUnit.SECONDS)
         cluster.store.isRefusing = false
+        cluster.store.isSilent = false
         cluster.servers.forEach { it.standIn.mode = ServerMode.SOUND }
         cluster.allServers.forEach {
             it.proxy.heal()
@@ -156,6 +161,23 @@
         }
     }
 
+    private fun injectLatestKind() {
+        val forMs = latestKinds.nextLong(MIN_NEWEST_FAULT_MS, MAX_NEWEST_FAULT_MS)
+        if (latestKinds.nextBoolean()) silenceStore(forMs / SILENCE_DIVISOR)
+    }
+
+    /** Silences the store between two changes of the configuration. */
+    private fun silenceStore(forMs: Long) {
+        record("store silent for $forMs ms") {
+            cluster.publishConfig(SoakCluster.INITIAL_TIMEOUT_MS)
+            cluster.store.isSilent = true
+        }
+        runAfter(forMs) {
+            cluster.store.isSilent = false
+            cluster.publishConfig(SoakCluster.INITIAL_TIMEOUT_MS + 1)
+        }
+    }
+
     private fun reject(servers: List<SoakServer<*>>, forMs: Long) {
         val share = newestKinds.nextDouble(MIN_REJECTED_SHARE, 1.0)
         val rejection = Rejection(share, REJECTED_STATUSES.random(newestKinds))
@@ -267,6 +289,9 @@
         const val LATER_KINDS_COUNT = 6
         const val LATER_KINDS_INTERVAL = 3
         const val NEWEST_KINDS_SEED_MASK = 0x7e7215L
+        const val LATEST_KINDS_SEED_MASK = 0x51_1E_17L
+        const val LATEST_KINDS_INTERVAL = 12
+        const val SILENCE_DIVISOR = 3
         const val NEWEST_KINDS_COUNT = 7
         const val NEWEST_KINDS_INTERVAL = 2
         const val MIN_NEWEST_FAULT_MS = 1_000L
