--- a/bench/src/test/kotlin/org/pomeloladder/bench/GatewaySoakTest.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewaySoakTest.kt
@@ -41,6 +41,7 @@
             awaitService(cluster, callers)
             callers.stop()
             checkRetries(cluster, callers)
+            checkLimits(cluster)
             if (cluster.violations.isNotEmpty()) report(seed, cluster, faults)
 
             expectThat(cluster.violations).isEmpty()
@@ -77,6 +78,15 @@
         }
     }
 
+    /** Records a violation for each server that got more than it had said to take. */
+    private fun checkLimits(cluster: SoakCluster) {
+        for (period in cluster.limitPeriods) {
+            val count = period.worstCount()
+            println("$period: $count")
+            if (count > period.allowed) cluster.violations += "$period, got $count in a window"
+        }
+    }
+
     /** Writes the violations, the faults and all logs of a failed run to files. */
     private fun report(seed: Long, cluster: SoakCluster, faults: SoakFaults) {
         val directory = File("target/soak/seed-$seed").apply { mkdirs() }
--- a/bench/src/test/kotlin/org/pomeloladder/bench/SoakCluster.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/SoakCluster.kt
@@ -5,6 +5,7 @@
 package org.pomeloladder.bench
 
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedQueue
 import kotlin.random.Random
 import org.pomeloladder.standins.FaultProxy
 import org.pomeloladder.standins.RouteServer
@@ -55,6 +56,9 @@
     private val ports = GatewayPorts()
     private var version = 0
 
+    /** The times during which servers named a limit. */
+    val limitPeriods = ConcurrentLinkedQueue<LimitPeriod>()
+
     /** Distinct descriptions of the violations seen during the run. */
     val violations: MutableSet<String> = ConcurrentHashMap.newKeySet()
 
--- a/bench/src/test/kotlin/org/pomeloladder/bench/SoakFaults.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/SoakFaults.kt
@@ -30,7 +30,7 @@
     /** Likewise for rejections, bursts, series of restarts and faults at stuttering servers. */
     private val newestKinds = Random(seed xor NEWEST_KINDS_SEED_MASK)
 
-    /** Likewise for silences of the store. */
+    /** Likewise for silences of the store and limits of servers. */
     private val latestKinds = Random(seed xor LATEST_KINDS_SEED_MASK)
     private val scheduler = Executors.newScheduledThreadPool(FAULT_THREADS)
     private val startedNanos = System.nanoTime()
@@ -163,7 +163,7 @@
 
     private fun injectLatestKind() {
         val forMs = latestKinds.nextLong(MIN_NEWEST_FAULT_MS, MAX_NEWEST_FAULT_MS)
-        if (latestKinds.nextBoolean()) silenceStore(forMs / SILENCE_DIVISOR)
+        if (latestKinds.nextBoolean()) silenceStore(forMs / SILENCE_DIVISOR) else limit(forMs)
     }
 
     /** Silences the store between two changes of the configuration. */
@@ -178,6 +178,23 @@
         }
     }
 
+    private fun limit(forMs: Long) {
+        val free = cluster.servers.filter { it.standIn.limitPerS == null }
+        val servers = free.take(latestKinds.nextInt(1, cluster.servers.size + 1))
+        val perS = latestKinds.nextDouble(MIN_LIMIT_PER_S, MAX_LIMIT_PER_S)
+        record("limit of $perS at ${servers.map { it.key }} for $forMs ms") {
+            servers.forEach { it.standIn.limitPerS = perS }
+        }
+        val fromMs = RouteServerStandIn.monotonicMs()
+        runAfter(forMs) {
+            val untilMs = RouteServerStandIn.monotonicMs()
+            for (server in servers) {
+                server.standIn.limitPerS = null
+                cluster.limitPeriods += LimitPeriod(server.standIn, perS, fromMs, untilMs)
+            }
+        }
+    }
+
     private fun reject(servers: List<SoakServer<*>>, forMs: Long) {
         val share = newestKinds.nextDouble(MIN_REJECTED_SHARE, 1.0)
         val rejection = Rejection(share, REJECTED_STATUSES.random(newestKinds))
@@ -292,6 +309,8 @@
         const val LATEST_KINDS_SEED_MASK = 0x51_1E_17L
         const val LATEST_KINDS_INTERVAL = 12
         const val SILENCE_DIVISOR = 3
+        const val MIN_LIMIT_PER_S = 0.3
+        const val MAX_LIMIT_PER_S = 20.0
         const val NEWEST_KINDS_COUNT = 7
         const val NEWEST_KINDS_INTERVAL = 2
         const val MIN_NEWEST_FAULT_MS = 1_000L
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
@@ -41,10 +41,11 @@
     GatewayEvent
 
 /**
- * A send ended. [limitPerS] is the limit that the server named in its answer, if any. [events] counts the events of its stream, and [longestGapMs] is the longest time
+ * A send ended. [events] counts the events of its stream, and [longestGapMs] is the longest time
  * between two of them. [headMs] is the time from the request to the head of its answer, or null
  * when no head arrived. [hasBegun] tells whether any byte of the answer arrived, and [contentAgeMs]
- * is the time since its first event or body byte. No further event refers to this send.
+ * is the time since its first event or body byte. [limitPerS] is the limit that the server named in
+ * the head, if any. No further event refers to this send.
  */
 data class SendEnded(
     val send: SendId,
