Let limited engines own prompt parts while they have room

A limited engine is now left out as owner only while it has no room, and what it takes in three quarters of a second may be saved up, which stays within the platform's bound.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PartOwners.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PartOwners.kt
@@ -60,7 +60,7 @@
     return when (region) {
         world.self.region -> call.allowsRegion(region) &&
             isUsable(world, backend, nowMs) &&
-            backend.limit.perS == null
+            hasLimitCapacity(world, backend, nowMs)
         else -> region in reachableRegions
     }
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLimit.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLimit.kt
@@ -10,7 +10,7 @@
 import org.pomeloladder.decisions.rendezvousOrder
 
 /** A share of the limit that was not used may be used later, up to what it allows in this time. */
-private const val BURST_S = 0.25
+private const val BURST_S = 0.75
 
 /** A lower limit counts as this one, since only an answer of the server can tell of its end. */
 private const val MIN_LIMIT_PER_S = 0.25
