Leave part of a limited server's room to calls with long shared prompts

A limit counts calls, whatever they cost.

Tried with it: a penalty for such calls at limited servers. ServerLimitTest refuted it, since then no call noticed the end of a limit.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PartOwners.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PartOwners.kt
@@ -22,13 +22,17 @@
  */
 internal class PartOwners(val localServers: List<Backend>, val remoteRegions: Set<RegionId>)
 
+/** Whether the shared parts of [call]'s prompt are long enough to have owners. */
+internal fun hasOwners(call: Call): Boolean =
+    call.spec.prompt?.sharedParts.orEmpty().sumOf { it.tokens } >= MIN_OWNED_TOKENS
+
 /**
  * Returns the owners of the last shared part of [call]'s prompt, or null when its shared parts are
  * too short to have owners.
  */
 internal fun partOwners(world: GatewayWorld, call: Call, nowMs: Long): PartOwners? {
+    if (!hasOwners(call)) return null
     val shared = call.spec.prompt?.sharedParts.orEmpty()
-    if (shared.sumOf { it.tokens } < MIN_OWNED_TOKENS) return null
     val reachableRegions = relayPeersByRegion(world, call, nowMs).keys
     val ranked = world.backends
         .filter { isOwnerCandidate(world, call, it, reachableRegions, nowMs) }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -83,7 +83,7 @@
                 it.id !in call.avoidedServers &&
                 isCandidate(world, it, nowMs) &&
                 hasColdCapacity(world, it, nowMs) &&
-                hasLimitCapacity(world, it, nowMs)
+                hasLimitCapacity(world, it, nowMs, isModest = !hasOwners(call))
         }
         if (usable.isEmpty()) return null
         val ranked = call.spec.prompt?.sharedParts?.lastOrNull()?.let { part ->
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLimit.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLimit.kt
@@ -69,13 +69,16 @@
         lastLimitedMs = NEVER_MS
     }
 
-    /** Whether a call may be sent at [nowMs] by a process with [sharePerS] of the limit. */
-    fun tryRefill(sharePerS: Double, nowMs: Long): Boolean {
+    /**
+     * Whether a call may be sent at [nowMs] by a process with [sharePerS] of the limit. A call that
+     * [isModest] leaves half of what is saved up to others.
+     */
+    fun hasRoom(sharePerS: Double, nowMs: Long, isModest: Boolean): Boolean {
         val maxTokens = 1 + sharePerS * BURST_S
         val added = sharePerS * (nowMs - refilledMs).coerceAtLeast(0) / MS_PER_S
         tokens = minOf(tokens + added, maxTokens)
         refilledMs = nowMs
-        return tokens >= 1
+        return tokens >= if (isModest) (1 + maxTokens) / 2 else 1.0
     }
 
     /** Time until a process with [sharePerS] of the limit may send a call. */
@@ -97,11 +100,16 @@
 
 /**
  * Whether this process may send one more call to [backend], which counts against its share of the
- * limit if the server has named one.
+ * limit if the server has named one. A limit counts calls of any size, so that one which costs
+ * little elsewhere [isModest] and leaves some of it to those whose prompts are cached there.
  */
-internal fun hasLimitCapacity(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean =
-    backend.limit.perS == null ||
-        backend.limit.tryRefill(limitSharePerS(world, backend, nowMs), nowMs)
+internal fun hasLimitCapacity(
+    world: GatewayWorld,
+    backend: Backend,
+    nowMs: Long,
+    isModest: Boolean = false,
+): Boolean = backend.limit.perS == null ||
+    backend.limit.hasRoom(limitSharePerS(world, backend, nowMs), nowMs, isModest)
 
 /** Time until this process may send a call to [backend], as far as the limit is concerned. */
 internal fun limitWaitMs(world: GatewayWorld, backend: Backend, nowMs: Long): Double =
