Tell callers the time until the next share, and ignore limits that are none

When the usable servers of a service are at their limit, Retry-After names the time until this process may send to one of them; servers of other regions, whose limits it does not know, no longer make it the minimum. A limit that is no number or negative, from an answer or a datagram, is ignored: NaN would have ended all sends to the server.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -173,15 +173,13 @@
     private fun unavailable(world: GatewayWorld, call: Call, nowMs: Long): Placement.Unavailable {
         val hasServers = world.backends.any { it.record.service == call.service }
         val reason = if (hasServers) CallRefusal.OVERLOADED else CallRefusal.NO_BACKEND
-        val usableInMs = world.backends
+        val reachableInMs = world.backends
             .filter { it.record.service == call.service }
-            .minOfOrNull { backend ->
-                val reachableInMs = (backend.unreachableUntilMs - nowMs).toDouble()
-                maxOf(reachableInMs, limitWaitMs(world, backend, nowMs))
-            } ?: 0.0
+            .minOfOrNull { it.unreachableUntilMs - nowMs } ?: MIN_RETRY_AFTER_MS
+        val usableInMs = maxOf(reachableInMs, limitWaitMs(world, call.service, nowMs))
         return Placement.Unavailable(
             reason,
-            usableInMs.toLong().coerceIn(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS),
+            usableInMs.coerceIn(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS),
         )
     }
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLimit.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLimit.kt
@@ -5,6 +5,7 @@
  */
 package org.pomeloladder.gateway
 
+import org.pomeloladder.configuration.ServiceId
 import org.pomeloladder.configuration.VmId
 import org.pomeloladder.decisions.LogEvent
 import org.pomeloladder.decisions.rendezvousOrder
@@ -47,9 +48,13 @@
     private var tokens = 0.0
     private var refilledMs = 0L
 
-    /** Takes over what an answer said at [atMs]. Returns whether the limit began, changed or ended. */
+    /**
+     * Takes over what an answer said at [atMs], unless it is no limit at all. Returns whether the
+     * limit began, changed or ended.
+     */
     fun observe(limitPerS: Double?, atMs: Long): Boolean {
         if (atMs < observedMs) return false
+        if (limitPerS != null && !(limitPerS.isFinite() && limitPerS >= 0)) return false
         observedMs = atMs
         if (limitPerS != null) lastLimitedMs = atMs
         val hasChanged = limitPerS != perS
@@ -111,13 +116,19 @@
 ): Boolean = backend.limit.perS == null ||
     backend.limit.hasRoom(limitSharePerS(world, backend, nowMs), nowMs, isModest)
 
-/** Time until this process may send a call to [backend], as far as the limit is concerned. */
-internal fun limitWaitMs(world: GatewayWorld, backend: Backend, nowMs: Long): Double =
-    if (hasLimitCapacity(world, backend, nowMs)) {
-        0.0
-    } else {
-        backend.limit.waitMs(limitSharePerS(world, backend, nowMs))
-    }
+/**
+ * Time until the limits of the usable servers of [service] let this process send a call to one of
+ * them; 0 without such servers.
+ */
+internal fun limitWaitMs(world: GatewayWorld, service: ServiceId, nowMs: Long): Long =
+    world.backends.filter { it.record.service == service && isUsable(world, it, nowMs) }
+        .minOfOrNull { backend ->
+            if (hasLimitCapacity(world, backend, nowMs)) {
+                0.0
+            } else {
+                backend.limit.waitMs(limitSharePerS(world, backend, nowMs))
+            }
+        }?.toLong() ?: 0
 
 /** Records what an answer of [backend] said of its limit at [atMs], here or at a peer. */
 internal fun recordLimit(tick: GatewayTick, backend: Backend, limitPerS: Double?, atMs: Long) {
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ServerLimitTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ServerLimitTest.kt
@@ -10,6 +10,7 @@
 import strikt.assertions.isLessThan
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 
 /** Tests with a fleet how many calls reach engines that name a limit, from all processes. */
 class ServerLimitTest {
@@ -158,6 +159,16 @@
         expectThat(least).isGreaterThan((LIMIT_PER_S * 4 * 2).toInt())
     }
 
+    // Guards against a datagram whose limit is no number, which would end all sends to the server.
+    @Test
+    fun `a limit that is no number or negative is ignored`() {
+        val limit = ServerLimit()
+        val values = listOf(Double.NaN, Double.POSITIVE_INFINITY, -1.0)
+
+        expectThat(values.filter { limit.observe(it, 1) }).isEmpty()
+        expectThat(limit.perS).isNull()
+    }
+
     private companion object {
         val REGIONS: List<RegionId> = listOf(NORTH, SOUTH, EAST)
         const val MANY_VMS = 20
