Show that servers that start again get far more calls than cold ones take

Callers lose their calls twice: when a server crashes, and when the processes flood it after its restart until it crashes again. The fleet's engines can be cold after a restart, and the store can tell of a restart late.

--- /dev/null
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
@@ -0,0 +1,218 @@
+package org.pomeloladder.gateway
+
+import kotlin.random.Random
+import org.junit.jupiter.api.Tag
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import org.pomeloladder.configuration.RegionId
+import org.pomeloladder.decisions.RequestId
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNull
+
+/** Tests with a fleet how many calls reach engines that crash and start again under their id. */
+class ColdRestartTest {
+    private val random = Random(11)
+    private val chat = route("chat") {
+        kind = RouteKind.STREAMING
+        service = MODEL
+        timeoutMs = 5_000
+        isResumable = true
+    }
+
+    private fun startedFleet(vmsPerRegion: Int = 3): TestFleet =
+        TestFleet(vmsPerRegion, enginesPerRegion = 3).apply {
+            answerMs = ANSWER_MS
+            engines.forEach { it.coldMs = COLD_MS }
+            publish(MODEL, chat)
+            run(12_000)
+            play(2_000)
+        }
+
+    /**
+     * [CALLS_PER_S] calls a second in each region for [durationMs], each to a random process.
+     * Returns those that were refused.
+     */
+    private fun TestFleet.play(durationMs: Long, each: (Long) -> Unit = {}): List<RequestId> {
+        val requests = ArrayList<RequestId>()
+        run(durationMs) { sinceMs ->
+            each(sinceMs)
+            if (sinceMs % (MS_PER_S / CALLS_PER_S) != 0L) return@run
+            for (region in REGIONS) {
+                val prompt = Prompt(listOf(PromptPart(PartId(random.nextLong()), 100)), 100, 50)
+                requests += call(region, random.nextInt(MANY_VMS), chat, prompt)
+            }
+        }
+        return requests.filter { it in refusals }
+    }
+
+    /** Crashes the first [count] engines of each region for [downMs]. */
+    private fun TestFleet.crashEngines(count: Int, downMs: Long) = REGIONS.forEach { region ->
+        engines.filter { it.region == region }.take(count).forEach { crash(it, downMs) }
+    }
+
+    /** The most calls that any engine got in one second while it was cold. */
+    private fun TestFleet.worstSecond(): Int = engines.maxOf { engine ->
+        val timesMs = engine.coldArrivalTimesMs
+        timesMs.maxOfOrNull { start -> timesMs.count { it in start until start + MS_PER_S } } ?: 0
+    }
+
+    // Guards against processes that take the server that answers after a crash for the one from
+    // before, until the store tells of its start.
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(longs = [300, 1_200, 4_000])
+    fun `a restarted server gets what a cold one takes, before the store tells of it`(
+        downMs: Long,
+    ) {
+        val fleet = startedFleet()
+        fleet.storeDelayMs = STORE_DELAY_MS
+        fleet.crashEngines(count = 2, downMs)
+        val refused = fleet.play(downMs + 6_000)
+
+        expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
+        expectThat(refused).isEmpty()
+    }
+
+    // Guards against a fleet so large that each process learns little by itself.
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(longs = [300, 1_200, 4_000])
+    fun `a restarted server gets no more from twenty processes than from three`(downMs: Long) {
+        val fleet = startedFleet(vmsPerRegion = MANY_VMS)
+        fleet.storeDelayMs = STORE_DELAY_MS
+        fleet.crashEngines(count = 2, downMs)
+        fleet.play(downMs + 6_000)
+
+        expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
+    }
+
+    // Guards against a second crash that is hidden by the first, while the store is silent.
+    @Tag("known-red")
+    @Test
+    fun `servers that crash twice while the store is silent get what cold ones take`() {
+        val fleet = startedFleet()
+        fleet.storeDelayMs = 20_000
+        fleet.crashEngines(count = 2, downMs = 500)
+        fleet.play(4_000)
+        fleet.crashEngines(count = 2, downMs = 300)
+        fleet.play(6_000)
+
+        expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
+    }
+
+    // Guards against processes that begin anew and know nothing of the crash, or of the calls that
+    // they sent before.
+    @Tag("known-red")
+    @Test
+    fun `processes that restart in series don't flood restarted servers`() {
+        val fleet = startedFleet()
+        fleet.storeDelayMs = STORE_DELAY_MS
+        fleet.crashEngines(count = 2, downMs = 500)
+        fleet.play(6_000) { sinceMs ->
+            if (sinceMs % RESTART_INTERVAL_MS == 0L) {
+                REGIONS.forEach { fleet.restart(it, (sinceMs / RESTART_INTERVAL_MS).toInt()) }
+            }
+        }
+
+        expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
+    }
+
+    // Guards against a process that divides the limit by the peers that it can reach.
+    @Tag("known-red")
+    @Test
+    fun `a process that is cut off from its peers uses its share of a cold server only`() {
+        val fleet = startedFleet()
+        fleet.storeDelayMs = STORE_DELAY_MS
+        REGIONS.forEach { fleet.isolate(it, 0) }
+        fleet.play(3_000)
+        fleet.crashEngines(count = 2, downMs = 1_200)
+        fleet.play(7_000)
+
+        expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
+    }
+
+    // Guards against a share that is given out once more when a cold state becomes known late.
+    @Tag("known-red")
+    @Test
+    fun `calls that were sent before a server is known to be cold count against the share`() {
+        val gateway = TestGateway()
+        gateway.publish(1, catalog(chat), server("m", MODEL))
+        repeat(COLD_BOUND) { gateway.call(chat) }
+        gateway.publish(2, catalog(chat), server("m", MODEL) { it.copy(coldForMs = 3_000) })
+        val (_, commands) = gateway.call(chat)
+
+        expectThat(commands.all<StartSend>()).isEmpty()
+    }
+
+    // Guards against a server that stays unused because one of its connections broke.
+    @Test
+    fun `a server with a broken connection gets calls again once it proves to be warm`() {
+        val gateway = TestGateway()
+        gateway.publish(1, catalog(chat), server("m", MODEL))
+        val first = gateway.call(chat).second.only<StartSend>()
+        val lost = SendOutcome.Broken(BreakReason.CONNECTION_LOST)
+        val after = gateway.tick(SendEnded(first.send, lost, load = null))
+        after.all<CheckHealth>().forEach {
+            gateway.tick(HealthChecked(it.server, isHealthy = true, coldForMs = 0, load = null))
+        }
+        val sends = List(10) { gateway.call(chat).second.all<StartSend>() }
+
+        expectThat(sends).all { hasSize(1) }
+    }
+
+    // Guards against callers that wait for servers that are known to be cold, and against cold
+    // servers that get nothing.
+    @Tag("known-red")
+    @Test
+    fun `when all servers restart, cold ones get their share and the rest is refused at once`() {
+        val fleet = startedFleet()
+        fleet.storeDelayMs = STORE_DELAY_MS
+        fleet.crashEngines(count = 3, downMs = 500)
+        val refusedBefore = fleet.refusalAgesMs.size
+        fleet.play(500 + COLD_MS)
+        val coldCalls = fleet.engines.map { it.coldArrivalTimesMs.size }
+        fleet.play(1_000)
+        val refusedLater = fleet.play(4_000)
+
+        expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
+        expectThat(coldCalls).all { isGreaterThan(0) }
+        expectThat(fleet.refusalAgesMs.drop(refusedBefore).average()).isLessThan(MAX_REFUSAL_MS)
+        expectThat(refusedLater).isEmpty()
+    }
+
+    // Guards against what was learned of a server before it started anew, and is told late.
+    @Tag("known-red")
+    @Test
+    fun `a limit that a peer observed in the earlier life does not hold for the new one`() {
+        val gateway = TestGateway()
+        gateway.publish(1, catalog(chat), server("m", MODEL))
+        gateway.publish(2, catalog(chat), server("m", MODEL) { it.copy(startedAtUnixMs = 2) })
+        val report = LimitReport(server("m").id, perS = 0.1, ageMs = 500)
+        gateway.receiveGossip(identity("peer", NORTH)) { it.copy(limits = listOf(report)) }
+        val backend = checkNotNull(gateway.world.backends[server("m").id])
+
+        expectThat(backend.limit.perS).isNull()
+    }
+
+    private companion object {
+        val REGIONS: List<RegionId> = listOf(NORTH, SOUTH, EAST)
+        const val MANY_VMS = 20
+        const val CALLS_PER_S = 40
+        const val ANSWER_MS = 300L
+        const val COLD_MS = 3_000L
+        const val STORE_DELAY_MS = 1_500L
+        const val RESTART_INTERVAL_MS = 500L
+        const val MS_PER_S = 1_000L
+        const val MAX_REFUSAL_MS = 100.0
+
+        /** The platform's rule for the test catalog: 2 a second, half as much again, and three. */
+        const val COLD_BOUND = 6
+    }
+}
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
@@ -54,10 +54,17 @@
     var limitPerS: Double? = null
     val arrivalTimesMs = ArrayList<Long>()
 
+    /** How long the engine is cold after a restart, and the arrivals while it was. */
+    var coldMs = 0L
+    val coldArrivalTimesMs = ArrayList<Long>()
+
     fun isUp(nowMs: Long) = nowMs >= upAtMs
 
-    fun crash(nowMs: Long) {
-        upAtMs = nowMs + RESTART_MS
+    fun coldForMs(nowMs: Long): Long =
+        if (starts == 1L) 0 else (upAtMs + coldMs - nowMs).coerceAtLeast(0)
+
+    fun crash(nowMs: Long, downMs: Long) {
+        upAtMs = nowMs + downMs
         busyUntilMs = upAtMs.toDouble()
         cachedParts.clear()
         runs.clear()
@@ -130,6 +137,9 @@
     /** Time from the first event of an answer to its end. */
     var answerMs = 1L
 
+    /** Time after which processes read from the store that an engine has started again. */
+    var storeDelayMs = 0L
+
     /** Times at which engines crashed, and at which prompts with [deadlyPart] reached engines. */
     val crashesMs = ArrayList<Long>()
     val deadlyArrivalsMs = ArrayList<Long>()
@@ -165,7 +175,11 @@
     private fun publishView() {
         val records = engines.map { engine ->
             server(engine.id.value, publishedService, engine.region) { record ->
-                record.copy(slots = 64, startedAtUnixMs = engine.starts)
+                record.copy(
+                    slots = 64,
+                    startedAtUnixMs = engine.starts,
+                    coldForMs = engine.coldForMs(nowMs),
+                )
             }
         }
         val view = PublishedView(++revision, catalog(*publishedRoutes), records, emptySet())
@@ -292,8 +306,10 @@
     }
 
     private fun checkHealth(vm: Vm, command: CheckHealth) {
-        val isUp = byEngine.getValue(command.server).isUp(nowMs)
-        val checked = HealthChecked(command.server, isUp, if (isUp) 0 else null, null, !isUp)
+        val engine = byEngine.getValue(command.server)
+        val isUp = engine.isUp(nowMs)
+        val coldForMs = if (isUp) engine.coldForMs(nowMs) else null
+        val checked = HealthChecked(command.server, isUp, coldForMs, null, !isUp)
         schedule(nowMs + LOCAL_DELAY_MS) { vm.inbox += checked }
     }
 
@@ -325,6 +341,7 @@
     private fun arrive(vm: Vm, start: StartSend, engine: TestEngine, spec: CallSpec) {
         arrivalTimesMs.getOrPut(spec.requestId) { ArrayList() } += nowMs
         engine.arrivalTimesMs += nowMs
+        if (engine.coldForMs(nowMs) > 0) engine.coldArrivalTimesMs += nowMs
         if (rejections.nextDouble() >= rejectedShare) {
             return run(vm, start, engine, checkNotNull(spec.prompt))
         }
@@ -364,14 +381,15 @@
 
     fun upEngines() = engines.filter { it.isUp(nowMs) }
 
-    fun crash(engine: TestEngine) {
+    /** Ends [engine] with all its calls. It starts again under its id after [downMs]. */
+    fun crash(engine: TestEngine, downMs: Long = RESTART_MS) {
         crashesMs += nowMs
         val lost = engine.runs.values.toList()
-        engine.crash(nowMs)
+        engine.crash(nowMs, downMs)
         for (run in lost) byVm.getValue(run.key.vm).inbox += lostSend(run)
         schedule(engine.upAtMs) {
             engine.starts++
-            publishView()
+            schedule(nowMs + storeDelayMs) { publishView() }
         }
     }
 
