Keep what is known of one life of a backend server in one type

Behaviour stays as it is. Some of what is known of a server holds for one start of its process only, and was listed field by field wherever a start became known; what a restart forgets to clear is then taken for knowledge of the next life. ServerLife holds these fields, so that a fix can drop them as a whole.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallCosts.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallCosts.kt
@@ -84,7 +84,7 @@
         uncachedTokens: Int,
         state: ServiceState,
     ): Double {
-        val recentTokens = backend.recentPromptTokens + backend.peerRecentPromptTokens
+        val recentTokens = backend.life.recentPromptTokens + backend.peerRecentPromptTokens
         val prefillMsPerS = recentTokens * state.msPerPromptToken / RECENT_PROMPT_WINDOW_S
         val prefillFraction = (prefillMsPerS / MS_PER_S).coerceAtMost(1.0)
         val answerSlowdownMs = prefillFraction * prompt.outputTokens * MS_PER_OUTPUT_TOKEN
@@ -113,7 +113,7 @@
         isPreferred: Boolean,
         state: ServiceState,
     ): Double {
-        val cachedTokenCount = backend.cache.cachedTokens(shared).toDouble()
+        val cachedTokenCount = backend.life.cache.cachedTokens(shared).toDouble()
         val countedTokens = if (isPreferred) {
             maxOf(cachedTokenCount, shared.sumOf { it.tokens } * PREFERRED_CACHE_FRACTION)
         } else {
@@ -157,7 +157,7 @@
     /** Prompt tokens that [backend] does not have cached. */
     fun uncachedTokens(prompt: Prompt?, backend: Backend): Int {
         if (prompt == null) return 0
-        return prompt.promptTokens - backend.cache.cachedTokens(prompt.parts)
+        return prompt.promptTokens - backend.life.cache.cachedTokens(prompt.parts)
     }
 
     /**
@@ -173,7 +173,7 @@
         nowMs: Long,
     ): Double {
         val slots = backend.record.slots.coerceAtLeast(1)
-        val report = backend.freshReport(nowMs)
+        val report = backend.life.freshReport(nowMs)
         val load = maxOf(backend.load, reportedLoad(report))
         val slowdown = report?.slowdown ?: 1.0
         val waiting = (load + 1 - slots).coerceAtLeast(0)
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -224,7 +224,13 @@
     )
 
     private fun describeServer(world: GatewayWorld, backend: Backend, nowMs: Long): String {
-        val reportAgeMs = if (backend.lastReport == null) -1 else nowMs - backend.lastReportMs
+        val reportAgeMs = if (backend.life.lastReport ==
+            null
+        ) {
+            -1
+        } else {
+            nowMs - backend.life.lastReportMs
+        }
         val isUsable = isUsable(world, backend, nowMs)
         return "${backend.id}:${backend.load}/${backend.record.slots},report=${reportAgeMs}ms," +
             "usable=$isUsable"
@@ -262,8 +268,8 @@
         send.expectedFirstEventMs = choice.waitMs
         val details = retryDetails(world, tick, call) +
             serverDetails(choice, call.spec.prompt, call.route.priority)
-        if (tick.nowMs < backend.coldUntilMs) backend.coldSendTimesMs.addLast(tick.nowMs)
-        backend.limit.take()
+        if (tick.nowMs < backend.life.coldUntilMs) backend.coldSendTimesMs.addLast(tick.nowMs)
+        backend.life.limit.take()
         backend.inFlight++
         call.spec.prompt?.let { prompt -> addPromptLoad(world, choice, send, prompt, service) }
         val liveVms = world.liveRegionPeers().size + 1
@@ -289,7 +295,8 @@
             "uncachedTokens" to CallCosts.uncachedTokens(prompt, backend),
             "copiedTokens" to choice.source?.tokens,
             "aheadTokens" to backend.tokensAhead(priority),
-            "recentTokens" to backend.recentPromptTokens.toLong() + backend.peerRecentPromptTokens,
+            "recentTokens" to
+                backend.life.recentPromptTokens.toLong() + backend.peerRecentPromptTokens,
         )
     }
 
@@ -306,10 +313,10 @@
         send.pendingTokens = tokensToProcess.toLong()
         send.tokensBeforeFirstEvent = tokensToProcess + backend.tokensAhead(send.priority)
         backend.pending.add(send.priority, send.pendingTokens)
-        backend.recentPromptTokens += tokensToProcess
+        backend.life.recentPromptTokens += tokensToProcess
         val capacity = service?.engine?.kvCapacityTokens ?: return
         for (part in prompt.sharedParts) {
-            backend.cache.add(part, capacity)
+            backend.life.cache.add(part, capacity)
             if (part.tokens < MIN_GOSSIPED_TOKENS) continue
             world.recentlyCached += CachedPart(backend.id, part.id, part.tokens)
         }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -11,12 +11,6 @@
 import org.pomeloladder.decisions.Incarnation
 import org.pomeloladder.decisions.RequestId
 
-/**
- * A load report is out of date after about a second: by then the server's queue and the other load
- * of its machine have changed.
- */
-private const val REPORT_VALID_MS = 1_000L
-
 /** A backend server of any region. Calls are sent only to servers of this process's region. */
 class Backend(var record: BackendRecord) {
     val id: BackendServerId
@@ -33,35 +27,8 @@
     val peerPending = PendingTokens()
     var peerRecentPromptTokens = 0L
 
-    /** The latest load report of the server and the time of its arrival. */
-    var lastReport: LoadReport? = null
-    var lastReportMs = 0L
-
-    /** Returns the latest report, or null when it is out of date. */
-    fun freshReport(nowMs: Long): LoadReport? =
-        lastReport?.takeIf { nowMs - lastReportMs < REPORT_VALID_MS }
-
-    val limit = ServerLimit()
-
-    /** Moving average of the failures that this process observed, from 0 to 1. */
-    var failureRate = 0.0
-
-    var lastHeardMs = 0L
-
-    /**
-     * Times of the last health check sent because the server was silent, and of the last health
-     * check without an answer.
-     */
-    var lastHealthCheckMs = Long.MIN_VALUE / 2
-    var lastHealthTimeoutMs = Long.MIN_VALUE / 2
-    var unreachableUntilMs = 0L
-    var connectFailures = 0
-
-    /**
-     * Time at which this process saw the server start to drain; null when it does not drain or was
-     * already draining when first seen.
-     */
-    var drainingSinceMs: Long? = null
+    /** What is known of the server since its last start. */
+    var life = ServerLife()
 
     /**
      * Time since which the server's entry is missing; the server is dropped when the entry does not
@@ -69,9 +36,6 @@
      */
     var missingSinceMs: Long? = null
 
-    /** Whether another instance now runs at the server's address. */
-    var isReplaced = false
-    var coldUntilMs = 0L
     var coldSendTimesMs = ArrayDeque<Long>()
 
     /**
@@ -79,14 +43,6 @@
      * yet.
      */
     var isHealthCheckPending = false
-    val cache = PrefixCache()
-    val gapEstimator = EventGapEstimator()
-
-    /**
-     * Prompt tokens that this process sent recently, decaying over time; the other VMs of the
-     * region report theirs in datagrams.
-     */
-    var recentPromptTokens = 0.0
 
     val load: Int
         get() = inFlight + peerInFlight
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PartSource.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PartSource.kt
@@ -42,14 +42,14 @@
     if (engine.kvLinkMbps <= 0) return null
     val shared = call.spec.prompt?.sharedParts.orEmpty()
     val sharedTokens = shared.sumOf { it.tokens }
-    val missingTokens = sharedTokens - backend.cache.cachedTokens(shared)
+    val missingTokens = sharedTokens - backend.life.cache.cachedTokens(shared)
     if (missingTokens < MIN_COPIED_TOKENS) return null
     val sameDomainCopyMs = missingTokens * engine.kvBytesPerToken * BITS_PER_BYTE /
         (engine.kvLinkMbps * BITS_PER_MS_OF_MBPS)
     val prefillMs = missingTokens * world.service(call.service).msPerPromptToken
     return world.backends
         .filter { it !== backend && it.record.service == call.service }
-        .filter { it.cache.cachedTokens(shared) == sharedTokens && isSource(world, it, nowMs) }
+        .filter { it.life.cache.cachedTokens(shared) == sharedTokens && isSource(world, it, nowMs) }
         .map { PartSource(it, missingTokens, sameDomainCopyMs * copyTimeFactor(it, backend)) }
         .filter { it.copyMs * MIN_SPEEDUP < prefillMs }
         .minByOrNull { it.copyMs }
@@ -60,6 +60,7 @@
 
 private fun isSource(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean {
     val isResponsive =
-        nowMs - backend.lastHeardMs < MAX_SOURCE_SILENCE_MS || backend.gapEstimator.gapMs(nowMs) > 0
+        nowMs - backend.life.lastHeardMs < MAX_SOURCE_SILENCE_MS ||
+            backend.life.gapEstimator.gapMs(nowMs) > 0
     return isResponsive && backend.missingSinceMs == null && isUsable(world, backend, nowMs)
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
@@ -233,7 +233,7 @@
     private fun recordCachedPart(world: GatewayWorld, cached: CachedPart) {
         val backend = world.backends[cached.server] ?: return
         val engine = world.catalog?.service(backend.record.service)?.engine ?: return
-        backend.cache.add(PromptPart(cached.part, cached.tokens), engine.kvCapacityTokens)
+        backend.life.cache.add(PromptPart(cached.part, cached.tokens), engine.kvCapacityTokens)
     }
 
     private fun updateLiveness(world: GatewayWorld, tick: GatewayTick) {
@@ -337,20 +337,20 @@
     }
 
     private fun limitReports(world: GatewayWorld, nowMs: Long): List<LimitReport> =
-        world.backends.filter { nowMs - it.limit.lastLimitedMs < LIMIT_REPORT_MS }
-            .sortedByDescending { it.limit.observedMs }
+        world.backends.filter { nowMs - it.life.limit.lastLimitedMs < LIMIT_REPORT_MS }
+            .sortedByDescending { it.life.limit.observedMs }
             .take(MAX_LIMIT_REPORTS)
-            .map { LimitReport(it.id, it.limit.perS, nowMs - it.limit.observedMs) }
+            .map { LimitReport(it.id, it.life.limit.perS, nowMs - it.life.limit.observedMs) }
 
     private fun loadShares(world: GatewayWorld, tick: GatewayTick): List<ServerShare> =
-        world.backends.filter { it.inFlight > 0 || it.recentPromptTokens >= 1 }
+        world.backends.filter { it.inFlight > 0 || it.life.recentPromptTokens >= 1 }
             .map {
                 ServerShare(
                     server = it.id,
                     inFlight = it.inFlight,
                     pendingPromptTokens = it.pending.toList(),
-                    recentPromptTokens = it.recentPromptTokens.toLong(),
-                    eventGapMs = it.gapEstimator.ownGapMs(tick.nowMs).toFloat(),
+                    recentPromptTokens = it.life.recentPromptTokens.toLong(),
+                    eventGapMs = it.life.gapEstimator.ownGapMs(tick.nowMs).toFloat(),
                 )
             }
 
@@ -368,7 +368,7 @@
         totalsVersion = world.process.membershipVersion
         totalsRevision = world.process.view?.revision
         for (backend in world.backends) {
-            backend.gapEstimator.clearPeerSamples()
+            backend.life.gapEstimator.clearPeerSamples()
             backend.peerInFlight = 0
             backend.peerPending.clear()
             backend.peerRecentPromptTokens = 0
@@ -379,7 +379,7 @@
                 backend.peerInFlight += share.inFlight
                 backend.peerPending.add(share.pendingPromptTokens)
                 backend.peerRecentPromptTokens += share.recentPromptTokens
-                backend.gapEstimator.addPeerSample(share.eventGapMs.toDouble())
+                backend.life.gapEstimator.addPeerSample(share.eventGapMs.toDouble())
             }
         }
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -112,9 +112,9 @@
         for (backend in candidates) {
             val candidate = evaluateLocal(world, call, backend, nowMs)
             var scoreMs = candidate.costMs + random.nextDouble() * TIE_BREAK_JITTER_MS
-            scoreMs += backend.failureRate * CallCosts.failureCostMs(call)
+            scoreMs += backend.life.failureRate * CallCosts.failureCostMs(call)
             if (backend.missingSinceMs != null) scoreMs += MISSING_ENTRY_PENALTY_MS
-            if (nowMs < backend.coldUntilMs) scoreMs += COLD_PENALTY_MS
+            if (nowMs < backend.life.coldUntilMs) scoreMs += COLD_PENALTY_MS
             scoreMs -= CallCosts.cacheSavingMs(shared, backend, backend in preferred, state)
             if (scoreMs < bestScoreMs) {
                 best = candidate
@@ -140,7 +140,7 @@
         val answerCostMs = CallCosts.answerDelayMs(
             call,
             state,
-            backend.gapEstimator.gapMs(nowMs),
+            backend.life.gapEstimator.gapMs(nowMs),
             nowMs,
         )
         val interferenceCostMs =
@@ -175,7 +175,7 @@
         val reason = if (hasServers) CallRefusal.OVERLOADED else CallRefusal.NO_BACKEND
         val reachableInMs = world.backends
             .filter { it.record.service == call.service }
-            .minOfOrNull { it.unreachableUntilMs - nowMs } ?: MIN_RETRY_AFTER_MS
+            .minOfOrNull { it.life.unreachableUntilMs - nowMs } ?: MIN_RETRY_AFTER_MS
         val usableInMs = maxOf(reachableInMs, limitWaitMs(world, call.service, nowMs))
         return Placement.Unavailable(
             reason,
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -34,7 +34,7 @@
         call.isStreamStarted = true
         call.mayHaveRun = true
         val backend = backendOf(world, send) ?: return
-        backend.lastHeardMs = tick.nowMs
+        backend.life.lastHeardMs = tick.nowMs
         recordReport(backend, event.load, tick.nowMs)
         recordLimit(tick, backend, send, event.limitPerS, isComplete = true)
         backend.pending.add(send.priority, -send.pendingTokens)
@@ -64,7 +64,7 @@
         logEnd(tick, call, send, event.reason)
         if (event.reason != NotWrittenReason.NOT_NEEDED) markAvoided(call, send)
         world.service(call.service).retryBudget.refund(send.permit)
-        backendOf(world, send)?.limit?.refund()
+        backendOf(world, send)?.life?.limit?.refund()
         if (call.replacementSend == send.id) {
             call.replacementSend = null
             return
@@ -78,12 +78,12 @@
                 world.peers[place.vm]?.unreachableUntilMs = tick.nowMs + INITIAL_BACK_OFF_MS
             is SendPlace.AtServer -> {
                 val backend = world.backends[place.server] ?: return
-                val shift = backend.connectFailures.coerceAtMost(MAX_DOUBLINGS)
-                backend.connectFailures++
-                backend.unreachableUntilMs = tick.nowMs + (INITIAL_BACK_OFF_MS shl shift)
+                val shift = backend.life.connectFailures.coerceAtMost(MAX_DOUBLINGS)
+                backend.life.connectFailures++
+                backend.life.unreachableUntilMs = tick.nowMs + (INITIAL_BACK_OFF_MS shl shift)
                 tick.journal.log(
                     LogEvent.BACKEND_UNREACHABLE,
-                    mapOf("server" to backend.id, "failures" to backend.connectFailures),
+                    mapOf("server" to backend.id, "failures" to backend.life.connectFailures),
                 )
             }
         }
@@ -179,7 +179,7 @@
         if (outcome.reason == NotRunReason.WRONG_INSTANCE) {
             val backend = backendOf(world, send)
             if (backend != null) {
-                backend.isReplaced = true
+                backend.life.isReplaced = true
                 tick.emit(CloseIdleConnections(backend.id))
             }
         }
@@ -236,11 +236,13 @@
         val call = world.calls[send.call] ?: return
         if (call.currentSend != send.id || call.replacementSend != null) return
         val backend = backendOf(world, send) ?: return
-        val isAlive = tick.nowMs - backend.lastHeardMs < SILENCE_TIMEOUT_MS
+        val isAlive = tick.nowMs - backend.life.lastHeardMs < SILENCE_TIMEOUT_MS
         val allowedMs = if (isAlive) maxSilenceMs(call, send, tick.nowMs) else SILENCE_TIMEOUT_MS
         if (event.idleMs < allowedMs) return
         if (!isAlive) {
-            if (backend.lastHealthTimeoutMs <= maxOf(backend.lastHeardMs, send.startedMs)) {
+            if (backend.life.lastHealthTimeoutMs <=
+                maxOf(backend.life.lastHeardMs, send.startedMs)
+            ) {
                 return requestHealthCheck(world, tick, backend)
             }
             markSilent(tick, backend)
@@ -261,9 +263,9 @@
      * one that is gone.
      */
     private fun requestHealthCheck(world: GatewayWorld, tick: GatewayTick, backend: Backend) {
-        if (tick.nowMs - backend.lastHealthCheckMs < HEALTH_CHECK_INTERVAL_MS) return
+        if (tick.nowMs - backend.life.lastHealthCheckMs < HEALTH_CHECK_INTERVAL_MS) return
         val service = world.catalog?.service(backend.record.service) ?: return
-        backend.lastHealthCheckMs = tick.nowMs
+        backend.life.lastHealthCheckMs = tick.nowMs
         tick.emit(CheckHealth(backend.id, backend.record.address, service.healthPath))
     }
 
@@ -283,10 +285,13 @@
     }
 
     private fun markSilent(tick: GatewayTick, backend: Backend) {
-        if (tick.nowMs < backend.unreachableUntilMs) return
-        backend.unreachableUntilMs = tick.nowMs + INITIAL_BACK_OFF_MS
+        if (tick.nowMs < backend.life.unreachableUntilMs) return
+        backend.life.unreachableUntilMs = tick.nowMs + INITIAL_BACK_OFF_MS
         tick.emit(CloseIdleConnections(backend.id))
-        val details = mapOf("server" to backend.id, "silentMs" to tick.nowMs - backend.lastHeardMs)
+        val details = mapOf(
+            "server" to backend.id,
+            "silentMs" to tick.nowMs - backend.life.lastHeardMs,
+        )
         tick.journal.log(LogEvent.BACKEND_SILENT, details)
     }
 
@@ -307,14 +312,14 @@
             is SendOutcome.Broken -> 1.0
             is SendOutcome.NotRun, SendOutcome.Cancelled -> return
         }
-        if (failure == 0.0) backend.connectFailures = 0
-        backend.failureRate += FAILURE_WEIGHT * (failure - backend.failureRate)
+        if (failure == 0.0) backend.life.connectFailures = 0
+        backend.life.failureRate += FAILURE_WEIGHT * (failure - backend.life.failureRate)
     }
 
     private fun recordReport(backend: Backend, load: LoadReport?, nowMs: Long) {
         if (load == null) return
-        backend.lastReport = load
-        backend.lastReportMs = nowMs
+        backend.life.lastReport = load
+        backend.life.lastReportMs = nowMs
     }
 
     /** Whether [outcome] is an answer of the server that the send was meant for. */
@@ -333,7 +338,7 @@
         limitPerS: Double?,
         isComplete: Boolean,
     ) {
-        val isAfterLimit = send.startedMs > backend.limit.lastLimitedMs
+        val isAfterLimit = send.startedMs > backend.life.limit.lastLimitedMs
         if (limitPerS == null && !(isComplete && isAfterLimit)) return
         recordLimit(tick, backend, limitPerS, tick.nowMs)
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLimit.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLimit.kt
@@ -97,10 +97,6 @@
     fun refund() {
         if (perS != null) tokens += 1
     }
-
-    private companion object {
-        const val NEVER_MS = Long.MIN_VALUE / 2
-    }
 }
 
 /**
@@ -113,8 +109,8 @@
     backend: Backend,
     nowMs: Long,
     isModest: Boolean = false,
-): Boolean = backend.limit.perS == null ||
-    backend.limit.hasRoom(limitSharePerS(world, backend, nowMs), nowMs, isModest)
+): Boolean = backend.life.limit.perS == null ||
+    backend.life.limit.hasRoom(limitSharePerS(world, backend, nowMs), nowMs, isModest)
 
 /**
  * Time until the limits of the usable servers of [service] let this process send a call to one of
@@ -126,13 +122,13 @@
             if (hasLimitCapacity(world, backend, nowMs)) {
                 0.0
             } else {
-                backend.limit.waitMs(limitSharePerS(world, backend, nowMs))
+                backend.life.limit.waitMs(limitSharePerS(world, backend, nowMs))
             }
         }?.toLong() ?: 0
 
 /** Records what an answer of [backend] said of its limit at [atMs], here or at a peer. */
 internal fun recordLimit(tick: GatewayTick, backend: Backend, limitPerS: Double?, atMs: Long) {
-    if (!backend.limit.observe(limitPerS, atMs)) return
+    if (!backend.life.limit.observe(limitPerS, atMs)) return
     val event = if (limitPerS != null) LogEvent.BACKEND_LIMITED else LogEvent.BACKEND_UNLIMITED
     tick.journal.log(event, mapOf("server" to backend.id, "perS" to limitPerS))
 }
@@ -145,7 +141,7 @@
  */
 private fun limitSharePerS(world: GatewayWorld, backend: Backend, nowMs: Long): Double {
     val process = world.process
-    val perS = maxOf(backend.limit.perS ?: 0.0, MIN_LIMIT_PER_S)
+    val perS = maxOf(backend.life.limit.perS ?: 0.0, MIN_LIMIT_PER_S)
     if (nowMs - (process.startedMs ?: nowMs) < DISCOVERY_MS) return 0.0
     val region = world.self.region
     val vms = world.peers.filter { it.identity.region == region }.map { it.vm } + world.self.vm
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerSystem.kt
@@ -32,9 +32,9 @@
 
     override fun run(world: GatewayWorld, tick: GatewayTick) {
         tick.each<ServerActivity> { activity ->
-            activity.servers.forEach { world.backends[it]?.lastHeardMs = tick.nowMs }
+            activity.servers.forEach { world.backends[it]?.life?.lastHeardMs = tick.nowMs }
             activity.gaps.forEach { (id, gaps) ->
-                world.backends[id]?.gapEstimator?.addSample(gaps, tick.nowMs)
+                world.backends[id]?.life?.gapEstimator?.addSample(gaps, tick.nowMs)
             }
         }
         tick.each<HealthChecked> { handleHealthCheck(world, tick, it) }
@@ -49,11 +49,11 @@
         val backend = world.backends[check.server] ?: return
         val coldForMs = check.coldForMs
         if (coldForMs == null) {
-            backend.lastHealthTimeoutMs = tick.nowMs
+            backend.life.lastHealthTimeoutMs = tick.nowMs
             return
         }
-        backend.lastHeardMs = tick.nowMs
-        if (coldForMs > 0) backend.coldUntilMs = tick.nowMs + coldForMs
+        backend.life.lastHeardMs = tick.nowMs
+        if (coldForMs > 0) backend.life.coldUntilMs = tick.nowMs + coldForMs
         if (check.isHealthy) {
             backend.isHealthCheckPending = false
             checkingSinceMs.remove(check.server)
@@ -62,8 +62,8 @@
 
     private fun scan(world: GatewayWorld, tick: GatewayTick) {
         for (backend in world.backends) {
-            backend.failureRate *= FAILURE_DECAY
-            backend.recentPromptTokens *= PROMPT_DECAY
+            backend.life.failureRate *= FAILURE_DECAY
+            backend.life.recentPromptTokens *= PROMPT_DECAY
             if (backend.isHealthCheckPending) checkHealth(world, tick, backend)
         }
     }
@@ -74,7 +74,7 @@
         if (tick.nowMs - sinceMs > HEALTH_CHECK_TIMEOUT_MS) {
             checkingSinceMs.remove(backend.id)
             backend.isHealthCheckPending = false
-            backend.coldUntilMs = tick.nowMs + HEALTH_CHECK_TIMEOUT_MS
+            backend.life.coldUntilMs = tick.nowMs + HEALTH_CHECK_TIMEOUT_MS
             return
         }
         tick.emit(CheckHealth(backend.id, backend.record.address, service.healthPath))
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServiceSummary.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServiceSummary.kt
@@ -34,7 +34,7 @@
         totalSlots = usable.sumOf { it.record.slots },
         usedSlots = usable.sumOf { it.load },
         waitMs = typical?.second?.toLong() ?: UNKNOWN_WAIT_MS,
-        eventGapMs = typical?.first?.gapEstimator?.gapMs(nowMs)?.toFloat() ?: 0f,
+        eventGapMs = typical?.first?.life?.gapEstimator?.gapMs(nowMs)?.toFloat() ?: 0f,
         meanWaitMs = meanMs(waits) ?: UNKNOWN_WAIT_MS,
         urgentWaitMs = lowerQuartile(urgentWaits)?.second?.toLong() ?: UNKNOWN_WAIT_MS,
     )
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
@@ -39,7 +39,7 @@
 
 /** Whether [backend] drains but still serves calls that have no other place. */
 internal fun isDrainingButUsable(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean {
-    val sinceMs = backend.drainingSinceMs ?: return false
+    val sinceMs = backend.life.drainingSinceMs ?: return false
     return backend.record.isDraining &&
         backend.record.endsInMs == null &&
         nowMs - sinceMs < world.bounds.drainMs - DRAIN_MARGIN_MS &&
@@ -47,9 +47,9 @@
 }
 
 private fun isReachable(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean =
-    !backend.isReplaced &&
+    !backend.life.isReplaced &&
         !backend.isHealthCheckPending &&
-        nowMs >= backend.unreachableUntilMs &&
+        nowMs >= backend.life.unreachableUntilMs &&
         backend.record.domain !in world.process.view?.evacuated.orEmpty() &&
         world.regionOf(backend.record.domain) == world.self.region
 
@@ -60,7 +60,7 @@
 internal fun isStable(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean =
     !backend.record.isDraining &&
         backend.missingSinceMs == null &&
-        nowMs >= backend.coldUntilMs &&
+        nowMs >= backend.life.coldUntilMs &&
         backend.record.domain !in world.process.view?.evacuated.orEmpty()
 
 /**
@@ -68,7 +68,7 @@
  * limit if [backend] is cold.
  */
 internal fun hasColdCapacity(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean {
-    if (nowMs >= backend.coldUntilMs) return true
+    if (nowMs >= backend.life.coldUntilMs) return true
     val sends = backend.coldSendTimesMs
     while (sends.isNotEmpty() && sends.first() <= nowMs - COLD_WINDOW_MS) sends.removeFirst()
     return sends.size < coldAllowance(world, backend, nowMs)
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
@@ -138,7 +138,7 @@
             "coldForMs" to record.coldForMs,
         )
         tick.journal.log(LogEvent.BACKEND_ADDED, details)
-        val backend = Backend(record).apply { coldUntilMs = tick.nowMs + record.coldForMs }
+        val backend = Backend(record).apply { life.coldUntilMs = tick.nowMs + record.coldForMs }
         // Sends continue while the entry of their server is missing, so a new row counts those
         // still in progress.
         for (send in world.sends) {
@@ -153,19 +153,20 @@
         val before = backend.record
         if (before == record) return
         if (record.isDraining && !before.isDraining) {
-            backend.drainingSinceMs = tick.nowMs
+            backend.life.drainingSinceMs = tick.nowMs
             tick.journal.log(LogEvent.BACKEND_LEAVING, mapOf("server" to record.id))
             tick.emit(CloseIdleConnections(record.id))
         }
         if (record.startedAtUnixMs != before.startedAtUnixMs) {
-            backend.cache.clear()
-            backend.limit.clear()
-            backend.drainingSinceMs = null
-            backend.unreachableUntilMs = 0
-            backend.isReplaced = false
+            backend.life.cache.clear()
+            backend.life.limit.clear()
+            backend.life.drainingSinceMs = null
+            backend.life.unreachableUntilMs = 0
+            backend.life.isReplaced = false
         }
         if (record.coldForMs > 0) {
-            backend.coldUntilMs = maxOf(backend.coldUntilMs, tick.nowMs + record.coldForMs)
+            backend.life.coldUntilMs =
+                maxOf(backend.life.coldUntilMs, tick.nowMs + record.coldForMs)
         }
         backend.record = record
     }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
@@ -198,7 +198,7 @@
         gateway.receiveGossip(identity("peer", NORTH)) { it.copy(limits = listOf(report)) }
         val backend = checkNotNull(gateway.world.backends[server("m").id])
 
-        expectThat(backend.limit.perS).isNull()
+        expectThat(backend.life.limit.perS).isNull()
     }
 
     private companion object {
