Doubt the life of a server whose connections break, until a health check shows what it is

Cause: a VM learned of a new start from the server's entry alone, a second or more late; what it knew of one life of the process was applied to the next one under the same id. A refused connection made it wait and try again, and the server that answered then counted as the warm one from before.

A lost or refused connection and a health check without an answer put the life in doubt now (RestartSystem). A server in doubt counts as cold; one that has refused a connection gets nothing. A health check, sent at once, shows whether the server is cold and ends the doubt within a round trip; a call that has no other place waits for it, for 0.1 s at most. VMs of a region tell each other of refusals and proofs at once, since a VM without a call at the server notices nothing. The end of a life drops all that is known of it (ServerLife), in place of a list of fields. Servers without a limit for the time that they are cold are not doubted.

--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/LogEvent.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/LogEvent.kt
@@ -57,6 +57,8 @@
     PART_PROBED(416, Severity.INFO, "quarantined prompt part sent once as a test"),
     BACKEND_LIMITED(417, Severity.WARN, "backend server named a limit"),
     BACKEND_UNLIMITED(418, Severity.INFO, "limit of a backend server ended"),
+    BACKEND_DOUBTED(419, Severity.INFO, "backend server may have started again"),
+    BACKEND_PROVEN(420, Severity.INFO, "backend server answered its health check"),
     ORDER_UNKNOWN(500, Severity.WARN, "outcome of an order is unknown"),
     ORDER_WITHDRAWN(501, Severity.INFO, "order withdrawn before dispatch"),
     ENGINE_ORDER_SENT(600, Severity.INFO, "engine order sent"),
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -46,6 +46,7 @@
         when (val choice = choose(world, tick, call)) {
             is Placement.Unavailable -> when {
                 call.isStreamStarted && !call.isRetryingAvoided -> retryAvoided(world, tick, call)
+                awaitsProof(world, tick, call) -> Unit
                 else -> fail(world, tick, call, choice.reason, choice.retryAfterMs)
             }
             is Placement.Local -> when {
@@ -59,6 +60,29 @@
         }
     }
 
+    /**
+     * Lets [call] wait when a server for it is in doubt and its health check will show at once
+     * whether it may be used. A lost connection of this process puts all its servers in doubt.
+     */
+    private fun awaitsProof(world: GatewayWorld, tick: GatewayTick, call: Call): Boolean {
+        val mayBeProven = world.doubtedServers.any { id ->
+            val backend = world.backends[id]
+            backend != null && id !in call.avoidedServers && isFreshDoubt(backend, call, tick.nowMs)
+        }
+        val untilMs = call.proofUntilMs ?: (tick.nowMs + MAX_PROOF_WAIT_MS)
+        if (!mayBeProven || tick.nowMs >= untilMs) return false
+        call.proofUntilMs = untilMs
+        world.callsAwaitingProof += call.id
+        tick.wakeAt(untilMs)
+        return true
+    }
+
+    private fun isFreshDoubt(backend: Backend, call: Call, nowMs: Long): Boolean {
+        val doubt = backend.doubt ?: return false
+        val isFresh = !doubt.isRefused && nowMs - doubt.sinceMs < MAX_PROOF_WAIT_MS
+        return isFresh && backend.record.service == call.service
+    }
+
     private fun sendIfPermitted(
         world: GatewayWorld,
         tick: GatewayTick,
@@ -267,8 +291,8 @@
         val send = newSend(world, tick, call, SendPlace.AtServer(backend.id), permit)
         send.expectedFirstEventMs = choice.waitMs
         val details = retryDetails(world, tick, call) +
-            serverDetails(choice, call.spec.prompt, call.route.priority)
-        if (tick.nowMs < backend.life.coldUntilMs) backend.coldSendTimesMs.addLast(tick.nowMs)
+            serverDetails(choice, call.spec.prompt, call.route.priority, tick.nowMs)
+        if (mayBeCold(backend, tick.nowMs)) backend.coldSendTimesMs.addLast(tick.nowMs)
         backend.life.limit.take()
         backend.inFlight++
         call.spec.prompt?.let { prompt -> addPromptLoad(world, choice, send, prompt, service) }
@@ -288,10 +312,12 @@
         choice: Placement.Local,
         prompt: Prompt?,
         priority: Int,
+        nowMs: Long,
     ): Map<String, Any?> {
         val backend = choice.backend
         return mapOf(
             "load" to backend.load,
+            "coldForMs" to (backend.life.coldUntilMs - nowMs).coerceAtLeast(0),
             "uncachedTokens" to CallCosts.uncachedTokens(prompt, backend),
             "copiedTokens" to choice.source?.tokens,
             "aheadTokens" to backend.tokensAhead(priority),
@@ -409,5 +435,8 @@
         const val MIN_GOSSIPED_TOKENS = 256
         const val MIN_RETRY_AFTER_MS = 300L
         const val MAX_RETRY_AFTER_MS = 1_500L
+
+        /** A health check is answered within a few milliseconds, or soon after a lost packet. */
+        const val MAX_PROOF_WAIT_MS = 100L
     }
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -30,6 +30,24 @@
     /** What is known of the server since its last start. */
     var life = ServerLife()
 
+    /** Set while the server may have started again since [life] was learned of. */
+    var doubt: LifeDoubt? = null
+        internal set
+
+    /** Time of the last health check because of a lost connection. */
+    var checkedMs = NEVER_MS
+
+    /** Times at which a connection was last refused, and at which a doubt last ended. */
+    var refusedMs = NEVER_MS
+    var provenMs = NEVER_MS
+        private set
+
+    /** Takes [life] for the server's life at [nowMs]. */
+    fun endDoubt(nowMs: Long) {
+        doubt = null
+        provenMs = nowMs
+    }
+
     /**
      * Time since which the server's entry is missing; the server is dropped when the entry does not
      * come back.
@@ -117,6 +135,12 @@
      */
     var heldUntilMs: Long? = null
 
+    /**
+     * Time until which the call waits for the health check of a server in doubt; null when it never
+     * did.
+     */
+    var proofUntilMs: Long? = null
+
     /** Whether this call tests a quarantined part at a server of this region. */
     var isProbe = false
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
@@ -106,9 +106,13 @@
 /** Requests the view of a peer. */
 data class FetchView(val from: Address) : GatewayCommand
 
-/** Sends a health check to a backend server. */
-data class CheckHealth(val server: BackendServerId, val address: Address, val path: String) :
-    GatewayCommand
+/** Sends a health check to a backend server. Its result returns [askedMs]. */
+data class CheckHealth(
+    val server: BackendServerId,
+    val address: Address,
+    val path: String,
+    val askedMs: Long = 0,
+) : GatewayCommand
 
 /** Closes idle connections to a server that is gone or silent, or whose address was reused. */
 data class CloseIdleConnections(val server: BackendServerId) : GatewayCommand
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
@@ -16,8 +16,15 @@
 /** The caller closed its connection before its answer was complete. */
 data class CallerDisconnected(val call: CallId) : GatewayEvent
 
-/** A send ended before any byte of it was written. */
-data class SendNotWritten(val send: SendId, val reason: NotWrittenReason) : GatewayEvent
+/**
+ * A send ended before any byte of it was written. [isRefused] tells whether its connection was
+ * refused, so that nothing listened at the address.
+ */
+data class SendNotWritten(
+    val send: SendId,
+    val reason: NotWrittenReason,
+    val isRefused: Boolean = false,
+) : GatewayEvent
 
 /** Why no byte of a send was written. */
 enum class NotWrittenReason {
@@ -135,7 +142,8 @@
 
 /**
  * A health check completed. [coldForMs] is null when the server did not answer in time. [isRefused]
- * is set when it refused the connection, so that nothing listens at its address.
+ * is set when it refused the connection, so that nothing listens at its address. [askedMs] is the
+ * time of the check on the clock of the control thread.
  */
 data class HealthChecked(
     val server: BackendServerId,
@@ -143,6 +151,7 @@
     val coldForMs: Long?,
     val load: LoadReport?,
     val isRefused: Boolean = false,
+    val askedMs: Long = 0,
 ) : GatewayEvent
 
 /**
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
@@ -6,6 +6,8 @@
 /**
  * Returns all systems. [ViewSystem] runs before [CallSystem], so that no call is routed by a view
  * that the same tick replaces.
+ * [RestartSystem] runs before the systems that place calls, so that none goes to a server that the
+ * same tick doubts.
  * [QuarantineSystem] runs before [SendSystem], so that a call that was lost with its server is held
  * when the same tick accuses its prompt.
  */
@@ -19,6 +21,7 @@
         DelaySystem(),
         SettingsSystem(),
         ViewSystem(),
+        RestartSystem(placer),
         ServerSystem(),
         QuarantineSystem(placer, quarantine),
         PeerSystem(self, placement),
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
@@ -46,6 +46,12 @@
     val suspectParts = Table<PartId, SuspectPart>()
     val process = GatewayState()
 
+    /** Servers whose life is in doubt. */
+    val doubtedServers = LinkedHashSet<BackendServerId>()
+
+    /** Calls that wait until servers in doubt have answered their health checks. */
+    val callsAwaitingProof = LinkedHashSet<CallId>()
+
     /** Calls that wait for evidence about their prompt parts before they are sent again. */
     val heldCalls = LinkedHashSet<CallId>()
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
@@ -77,6 +77,18 @@
     @SerialName("c") val ageMs: Long,
 )
 
+/**
+ * What the sender knows of a restart of [server]: the time since a connection was refused, the time
+ * since a health check then showed that it runs, or null if none did, and how long it is still cold.
+ */
+@Serializable
+data class RestartReport(
+    @SerialName("a") val server: BackendServerId,
+    @SerialName("b") val refusedAgeMs: Long?,
+    @SerialName("c") val provenAgeMs: Long? = null,
+    @SerialName("d") val coldForMs: Long = 0,
+)
+
 /** A confirmed crash, [ageMs] before the datagram was sent. */
 @Serializable
 data class CrashReport(@SerialName("a") val crash: CrashId, @SerialName("b") val ageMs: Long)
@@ -125,6 +137,7 @@
     /** The configuration in force, which may be older than [revision] suggests. */
     @SerialName("m") val catalogVersion: Long = 0,
     @SerialName("n") val limits: List<LimitReport> = emptyList(),
+    @SerialName("o") val restarts: List<RestartReport> = emptyList(),
 )
 
 /** A VM that the sender considers live, listed for peers that do not know it yet. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -114,7 +114,7 @@
             var scoreMs = candidate.costMs + random.nextDouble() * TIE_BREAK_JITTER_MS
             scoreMs += backend.life.failureRate * CallCosts.failureCostMs(call)
             if (backend.missingSinceMs != null) scoreMs += MISSING_ENTRY_PENALTY_MS
-            if (nowMs < backend.life.coldUntilMs) scoreMs += COLD_PENALTY_MS
+            if (mayBeCold(backend, nowMs)) scoreMs += COLD_PENALTY_MS
             scoreMs -= CallCosts.cacheSavingMs(shared, backend, backend in preferred, state)
             if (scoreMs < bestScoreMs) {
                 best = candidate
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/QuarantineSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/QuarantineSystem.kt
@@ -8,7 +8,6 @@
  */
 package org.pomeloladder.gateway
 
-import org.pomeloladder.configuration.BackendServerId
 import org.pomeloladder.decisions.Counter
 import org.pomeloladder.decisions.LogEvent
 import org.pomeloladder.decisions.hashKey
@@ -46,7 +45,6 @@
     GatewaySystem {
     /** Sends whose answers have just begun, with the times of their first events. */
     private val beginnings = LinkedHashMap<SendId, Long>()
-    private val lastCheckMs = HashMap<BackendServerId, Long>()
     private var lastScanMs = Long.MIN_VALUE / 2
     private var hasNewEvidence = false
 
@@ -118,15 +116,7 @@
             if (crash.requests.size < MAX_LISTED_REQUESTS) crash.requests += call.spec.requestId
             if (isConfirmed) markChanged(world, tick, suspect, isUrgent = true)
         }
-        if (!isConfirmed) checkServer(world, tick, backend)
-    }
-
-    private fun checkServer(world: GatewayWorld, tick: GatewayTick, backend: Backend) {
-        val checkedMs = lastCheckMs[backend.id]
-        if (checkedMs != null && tick.nowMs - checkedMs < CHECK_INTERVAL_MS) return
-        val service = world.catalog?.service(backend.record.service) ?: return
-        lastCheckMs[backend.id] = tick.nowMs
-        tick.emit(CheckHealth(backend.id, backend.record.address, service.healthPath))
+        if (!isConfirmed) checkHealth(world, tick, backend, CHECK_INTERVAL_MS)
     }
 
     private fun onHealthChecked(world: GatewayWorld, tick: GatewayTick, check: HealthChecked) {
@@ -225,7 +215,6 @@
     }
 
     private fun expire(world: GatewayWorld, tick: GatewayTick) {
-        lastCheckMs.values.removeIf { tick.nowMs - it > CONFIRMATION_MS }
         if (world.suspectParts.size == 0) return
         for (part in world.suspectParts) {
             part.crashes.values.removeIf {
--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
@@ -0,0 +1,206 @@
+/*
+ * Finds out whether a backend server has started again under its id. Its entry tells of that late,
+ * or not at all while the platform is silent, and a server that is cold must not get the calls of a
+ * warm one. A lost or refused connection and a health check without an answer put the life of a
+ * server in doubt. It counts as cold then, and gets nothing once it has refused a connection, until
+ * a health check shows what it is. The VMs of a region tell each other of refused connections and of
+ * what health checks showed, since a VM without a call at a server notices nothing of its restart.
+ */
+package org.pomeloladder.gateway
+
+import org.pomeloladder.decisions.LogEvent
+
+/** Interval of the health checks of a server in doubt, by each VM of a small region. */
+private const val CHECK_INTERVAL_MS = 250L
+
+/** Minimum time between two checks of a server that comes into doubt again and again. */
+private const val MIN_CHECK_INTERVAL_MS = 50L
+
+/** Number of VMs that check a server at [CHECK_INTERVAL_MS]. More of them check it less often. */
+private const val FREQUENT_CHECKERS = 5
+
+/**
+ * Subtracted from the time of a proof that another VM reports. It exceeds the delay of a datagram,
+ * so that no doubt that came after the proof ends by it.
+ */
+private const val REPORT_DELAY_MS = 250L
+
+/** Time for which news of a server is told, and the maximum number of servers in one datagram. */
+private const val REPORT_MS = 10_000L
+private const val MAX_REPORTS = 16
+
+/**
+ * Reasons to doubt that a backend server still lives the life that is known, first seen at
+ * [sinceMs]. [isRefused] tells whether it, or its host, has refused a connection: nothing listened
+ * then, so that the life has ended.
+ */
+class LifeDoubt(val sinceMs: Long, var isRefused: Boolean)
+
+/** Doubts the lives of servers, checks them, and tells the VMs of the region. */
+class RestartSystem(private val placer: CallPlacer) : GatewaySystem {
+    private var hasDoubtEnded = false
+
+    override fun run(world: GatewayWorld, tick: GatewayTick) {
+        for (event in tick.events) {
+            when (event) {
+                is SendNotWritten -> onNotWritten(world, tick, event)
+                is SendEnded -> onEnded(world, tick, event)
+                is HealthChecked -> onHealthChecked(world, tick, event)
+                is GossipReceived -> event.message.restarts.forEach { merge(world, tick, it) }
+                else -> Unit
+            }
+        }
+        checkDoubted(world, tick)
+        placeAwaitingCalls(world, tick)
+    }
+
+    private fun onNotWritten(world: GatewayWorld, tick: GatewayTick, event: SendNotWritten) {
+        if (event.reason != NotWrittenReason.CONNECT_FAILED) return
+        val backend = serverOf(world, event.send) ?: return
+        doubt(world, tick, backend, event.isRefused, if (event.isRefused) "refused" else "timeout")
+    }
+
+    private fun onEnded(world: GatewayWorld, tick: GatewayTick, event: SendEnded) {
+        val reason = (event.outcome as? SendOutcome.Broken)?.reason
+        if (reason != BreakReason.CONNECTION_LOST && reason != BreakReason.TRUNCATED) return
+        val backend = serverOf(world, event.send) ?: return
+        // The connection of an earlier life says nothing of this one.
+        val startedMs = world.sends[event.send]?.startedMs ?: return
+        if (startedMs < backend.life.learnedMs) return
+        doubt(world, tick, backend, isRefused = false, reason.name.lowercase())
+    }
+
+    private fun onHealthChecked(world: GatewayWorld, tick: GatewayTick, check: HealthChecked) {
+        val backend = world.backends[check.server] ?: return
+        val coldForMs = check.coldForMs
+        if (coldForMs == null) {
+            return doubt(world, tick, backend, check.isRefused, "health check")
+        }
+        val doubt = backend.doubt ?: return
+        if (check.askedMs >= doubt.sinceMs) prove(world, tick, backend, coldForMs, by = "check")
+    }
+
+    private fun serverOf(world: GatewayWorld, id: SendId): Backend? {
+        val place = world.sends[id]?.place as? SendPlace.AtServer ?: return null
+        return world.backends[place.server]
+    }
+
+    /** Takes over what a peer has observed since this process last learned of the server's life. */
+    private fun merge(world: GatewayWorld, tick: GatewayTick, report: RestartReport) {
+        val backend = world.backends[report.server] ?: return
+        val refusedMs = report.refusedAgeMs?.let { tick.nowMs - it.coerceAtLeast(0) }
+        val provenMs = report.provenAgeMs?.let { tick.nowMs - it.coerceAtLeast(0) }
+        if (refusedMs != null && refusedMs > backend.provenMs && backend.doubt == null) {
+            doubt(world, tick, backend, isRefused = false, "peer", refusedMs)
+        }
+        val sinceMs = backend.doubt?.sinceMs ?: return
+        if (provenMs != null && provenMs - REPORT_DELAY_MS > sinceMs) {
+            prove(world, tick, backend, report.coldForMs, by = "peer")
+        }
+    }
+
+    private fun doubt(
+        world: GatewayWorld,
+        tick: GatewayTick,
+        backend: Backend,
+        isRefused: Boolean,
+        cause: String,
+        sinceMs: Long = tick.nowMs,
+    ) {
+        // Without a limit for cold servers there is nothing to protect.
+        val service = world.catalog?.service(backend.record.service) ?: return
+        if (service.coldRequestsPerS <= 0) return
+        val known = backend.doubt
+        if (known == null) {
+            backend.doubt = LifeDoubt(sinceMs, isRefused = false)
+            world.doubtedServers += backend.id
+            val details = mapOf("server" to backend.id, "cause" to cause)
+            tick.journal.log(LogEvent.BACKEND_DOUBTED, details)
+        }
+        if (isRefused && known?.isRefused != true) {
+            backend.doubt?.isRefused = true
+            backend.refusedMs = tick.nowMs
+            backend.life = ServerLife(tick.nowMs)
+            world.process.evidenceVersion++
+        }
+    }
+
+    /** Records that the server was seen to be cold for [coldForMs] more, or warm if that is 0. */
+    private fun prove(
+        world: GatewayWorld,
+        tick: GatewayTick,
+        backend: Backend,
+        coldForMs: Long,
+        by: String,
+    ) {
+        val doubt = backend.doubt ?: return
+        val isNewLife =
+            !doubt.isRefused && coldForMs > 0 && tick.nowMs >= backend.life.coldUntilMs
+        if (isNewLife) backend.life = ServerLife(tick.nowMs)
+        backend.life.connectFailures = 0
+        backend.life.unreachableUntilMs = 0
+        backend.life.coldUntilMs = maxOf(backend.life.coldUntilMs, tick.nowMs + coldForMs)
+        backend.endDoubt(tick.nowMs)
+        hasDoubtEnded = true
+        world.doubtedServers -= backend.id
+        if (doubt.isRefused || coldForMs > 0) world.process.evidenceVersion++
+        val details = mapOf(
+            "server" to backend.id,
+            "coldForMs" to coldForMs,
+            "doubtMs" to tick.nowMs - doubt.sinceMs,
+            "by" to by,
+        )
+        tick.journal.log(LogEvent.BACKEND_PROVEN, details)
+    }
+
+    private fun checkDoubted(world: GatewayWorld, tick: GatewayTick) {
+        if (world.doubtedServers.isEmpty()) return
+        val vms = world.liveRegionPeers().size + 1
+        val intervalMs = CHECK_INTERVAL_MS * maxOf(1, vms / FREQUENT_CHECKERS)
+        world.doubtedServers.removeIf { world.backends[it]?.doubt == null }
+        for (id in world.doubtedServers) {
+            val backend = world.backends[id] ?: continue
+            val isNew = backend.doubt?.sinceMs == tick.nowMs
+            checkHealth(world, tick, backend, if (isNew) MIN_CHECK_INTERVAL_MS else intervalMs)
+            tick.wakeAt(backend.checkedMs + intervalMs)
+        }
+    }
+
+    /** Places calls again that waited for the end of a doubt, or for long enough. */
+    private fun placeAwaitingCalls(world: GatewayWorld, tick: GatewayTick) {
+        if (world.callsAwaitingProof.isEmpty()) return
+        val due = world.callsAwaitingProof.filter { id ->
+            hasDoubtEnded || tick.nowMs >= (world.calls[id]?.proofUntilMs ?: tick.nowMs)
+        }
+        hasDoubtEnded = false
+        world.callsAwaitingProof -= due.toSet()
+        for (id in due) world.calls[id]?.let { placer.place(world, tick, it) }
+    }
+}
+
+/** Sends a health check to [backend], unless one was sent less than [minIntervalMs] ago. */
+internal fun checkHealth(
+    world: GatewayWorld,
+    tick: GatewayTick,
+    backend: Backend,
+    minIntervalMs: Long,
+) {
+    if (tick.nowMs - backend.checkedMs < minIntervalMs) return
+    val service = world.catalog?.service(backend.record.service) ?: return
+    backend.checkedMs = tick.nowMs
+    tick.emit(CheckHealth(backend.id, backend.record.address, service.healthPath, tick.nowMs))
+}
+
+/** Returns what datagrams to the VMs of this region tell of restarts. */
+internal fun restartReports(world: GatewayWorld, nowMs: Long): List<RestartReport> =
+    world.backends.filter { nowMs - it.refusedMs < REPORT_MS }
+        .sortedByDescending { maxOf(it.refusedMs, it.provenMs) }
+        .take(MAX_REPORTS)
+        .map { backend ->
+            RestartReport(
+                server = backend.id,
+                refusedAgeMs = nowMs - backend.refusedMs,
+                provenAgeMs = if (backend.doubt == null) nowMs - backend.provenMs else null,
+                coldForMs = (backend.life.coldUntilMs - nowMs).coerceAtLeast(0),
+            )
+        }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -266,7 +266,7 @@
         if (tick.nowMs - backend.life.lastHealthCheckMs < HEALTH_CHECK_INTERVAL_MS) return
         val service = world.catalog?.service(backend.record.service) ?: return
         backend.life.lastHealthCheckMs = tick.nowMs
-        tick.emit(CheckHealth(backend.id, backend.record.address, service.healthPath))
+        tick.emit(CheckHealth(backend.id, backend.record.address, service.healthPath, tick.nowMs))
     }
 
     private fun onReplaced(world: GatewayWorld, tick: GatewayTick, event: SendReplaced) {
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerSystem.kt
@@ -77,6 +77,6 @@
             backend.life.coldUntilMs = tick.nowMs + HEALTH_CHECK_TIMEOUT_MS
             return
         }
-        tick.emit(CheckHealth(backend.id, backend.record.address, service.healthPath))
+        tick.emit(CheckHealth(backend.id, backend.record.address, service.healthPath, tick.nowMs))
     }
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
@@ -48,6 +48,7 @@
 
 private fun isReachable(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean =
     !backend.life.isReplaced &&
+        backend.doubt?.isRefused != true &&
         !backend.isHealthCheckPending &&
         nowMs >= backend.life.unreachableUntilMs &&
         backend.record.domain !in world.process.view?.evacuated.orEmpty() &&
@@ -63,12 +64,16 @@
         nowMs >= backend.life.coldUntilMs &&
         backend.record.domain !in world.process.view?.evacuated.orEmpty()
 
+/** Whether [backend] is cold, or may be because it may have started again. */
+internal fun mayBeCold(backend: Backend, nowMs: Long): Boolean =
+    nowMs < backend.life.coldUntilMs || backend.doubt != null
+
 /**
  * Whether this process may send one more call to [backend], which counts against its share of the
- * limit if [backend] is cold.
+ * limit if [backend] may be cold.
  */
 internal fun hasColdCapacity(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean {
-    if (nowMs >= backend.life.coldUntilMs) return true
+    if (!mayBeCold(backend, nowMs)) return true
     val sends = backend.coldSendTimesMs
     while (sends.isNotEmpty() && sends.first() <= nowMs - COLD_WINDOW_MS) sends.removeFirst()
     return sends.size < coldAllowance(world, backend, nowMs)
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
@@ -157,13 +157,7 @@
             tick.journal.log(LogEvent.BACKEND_LEAVING, mapOf("server" to record.id))
             tick.emit(CloseIdleConnections(record.id))
         }
-        if (record.startedAtUnixMs != before.startedAtUnixMs) {
-            backend.life.cache.clear()
-            backend.life.limit.clear()
-            backend.life.drainingSinceMs = null
-            backend.life.unreachableUntilMs = 0
-            backend.life.isReplaced = false
-        }
+        if (record.startedAtUnixMs != before.startedAtUnixMs) startLife(backend, tick)
         if (record.coldForMs > 0) {
             backend.life.coldUntilMs =
                 maxOf(backend.life.coldUntilMs, tick.nowMs + record.coldForMs)
@@ -171,6 +165,14 @@
         backend.record = record
     }
 
+    /** Drops what is known of the earlier life, except how long this process may have to wait. */
+    private fun startLife(backend: Backend, tick: GatewayTick) {
+        val coldUntilMs = backend.life.coldUntilMs
+        backend.life = ServerLife(tick.nowMs)
+        backend.life.coldUntilMs = coldUntilMs
+        backend.endDoubt(tick.nowMs)
+    }
+
     private fun removeMissing(world: GatewayWorld, tick: GatewayTick) {
         var nextMs = Long.MAX_VALUE
         val retentionMs = minOf(MISSING_RETENTION_MS, world.bounds.drainMs - DRAIN_MARGIN_MS)
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/Fetcher.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/Fetcher.kt
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
-import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.FullHttpResponse
@@ -20,7 +19,6 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
-import java.net.ConnectException
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 import org.pomeloladder.configuration.Address
@@ -90,9 +88,7 @@
                 connection.start(uri, timeoutMs, onResult)
             } else {
                 val cause = result.cause()
-                // Netty's timeout is a ConnectException too, but a silent host refuses nothing.
-                val isRefused = cause is ConnectException && cause !is ConnectTimeoutException
-                onResult(FetchResult.Failed(cause.toString(), isRefused = isRefused))
+                onResult(FetchResult.Failed(cause.toString(), isRefused = isRefusal(cause)))
             }
         }
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -350,8 +350,12 @@
                 pool.release(result.connection)
                 reportNotWritten(send, isStillActive, NotWrittenReason.NOT_NEEDED)
             }
-            ConnectResult.Failed ->
-                reportNotWritten(send, isStillActive, NotWrittenReason.CONNECT_FAILED)
+            is ConnectResult.Failed -> reportNotWritten(
+                send,
+                isStillActive,
+                NotWrittenReason.CONNECT_FAILED,
+                result.isRefused,
+            )
             ConnectResult.LimitReached ->
                 reportNotWritten(send, isStillActive, NotWrittenReason.NO_CONNECTION_LEFT)
         }
@@ -376,10 +380,11 @@
         send: ActiveSend,
         isStillActive: Boolean,
         reason: NotWrittenReason,
+        isRefused: Boolean = false,
     ) {
         if (!isStillActive) return
         sends.remove(send.id)
-        events.post(SendNotWritten(send.id, reason))
+        events.post(SendNotWritten(send.id, reason, isRefused))
     }
 
     private fun cancelSend(id: SendId) {
@@ -476,6 +481,7 @@
                 coldForMs = health?.coldForMs,
                 load = health?.load,
                 isRefused = result is FetchResult.Failed && result.isRefused,
+                askedMs = command.askedMs,
             )
             events.post(event)
         }
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnectionPool.kt
@@ -8,9 +8,11 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
+import java.net.ConnectException
 import java.net.InetSocketAddress
 import jdk.net.ExtendedSocketOptions
 import org.pomeloladder.configuration.Address
@@ -64,11 +66,19 @@
     .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBE_COUNT)
     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs.toInt().coerceAtLeast(1))
 
+/**
+ * Whether [cause] of a failed connection says that its address refused it. Netty's timeout is a
+ * [ConnectException] too, but a silent host refuses nothing.
+ */
+internal fun isRefusal(cause: Throwable): Boolean =
+    cause is ConnectException && cause !is ConnectTimeoutException
+
 /** Result of [ServerConnectionPool.acquire]. */
 internal sealed interface ConnectResult {
     class Connected(val connection: ServerConnection) : ConnectResult
 
-    data object Failed : ConnectResult
+    /** [isRefused] tells whether nothing listened at the address. */
+    data class Failed(val isRefused: Boolean) : ConnectResult
 
     /** The server already has as many connections as [SendTarget.Server.maxConnections] allows. */
     data object LimitReached : ConnectResult
@@ -157,7 +167,7 @@
                 onResult(ConnectResult.Connected(connection))
             } else {
                 addressPool.openCount--
-                onResult(ConnectResult.Failed)
+                onResult(ConnectResult.Failed(isRefusal(result.cause())))
             }
         }
     }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
@@ -65,7 +65,6 @@
 
     // Guards against processes that take the server that answers after a crash for the one from
     // before, until the store tells of its start.
-    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(longs = [300, 1_200, 4_000])
     fun `a restarted server gets what a cold one takes, before the store tells of it`(
@@ -81,7 +80,6 @@
     }
 
     // Guards against a fleet so large that each process learns little by itself.
-    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(longs = [300, 1_200, 4_000])
     fun `a restarted server gets no more from twenty processes than from three`(downMs: Long) {
@@ -94,7 +92,6 @@
     }
 
     // Guards against a second crash that is hidden by the first, while the store is silent.
-    @Tag("known-red")
     @Test
     fun `servers that crash twice while the store is silent get what cold ones take`() {
         val fleet = startedFleet()
@@ -109,7 +106,6 @@
 
     // Guards against processes that begin anew and know nothing of the crash, or of the calls that
     // they sent before.
-    @Tag("known-red")
     @Test
     fun `processes that restart in series don't flood restarted servers`() {
         val fleet = startedFleet()
@@ -125,7 +121,6 @@
     }
 
     // Guards against a process that divides the limit by the peers that it can reach.
-    @Tag("known-red")
     @Test
     fun `a process that is cut off from its peers uses its share of a cold server only`() {
         val fleet = startedFleet()
@@ -160,7 +155,7 @@
         val lost = SendOutcome.Broken(BreakReason.CONNECTION_LOST)
         val after = gateway.tick(SendEnded(first.send, lost, load = null))
         after.all<CheckHealth>().forEach {
-            gateway.tick(HealthChecked(it.server, isHealthy = true, coldForMs = 0, load = null))
+            gateway.tick(HealthChecked(it.server, true, 0, null, askedMs = it.askedMs))
         }
         val sends = List(10) { gateway.call(chat).second.all<StartSend>() }
 
@@ -175,15 +170,15 @@
         val fleet = startedFleet()
         fleet.storeDelayMs = STORE_DELAY_MS
         fleet.crashEngines(count = 3, downMs = 500)
-        val refusedBefore = fleet.refusalAgesMs.size
-        fleet.play(500 + COLD_MS)
+        val refused = fleet.play(500 + COLD_MS)
         val coldCalls = fleet.engines.map { it.coldArrivalTimesMs.size }
         fleet.play(1_000)
         val refusedLater = fleet.play(4_000)
 
         expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
         expectThat(coldCalls).all { isGreaterThan(0) }
-        expectThat(fleet.refusalAgesMs.drop(refusedBefore).average()).isLessThan(MAX_REFUSAL_MS)
+        expectThat(refused.map { fleet.refusalAgesMs.getValue(it) }.average())
+            .isLessThan(MAX_REFUSAL_MS)
         expectThat(refusedLater).isEmpty()
     }
 
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/QuarantineSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/QuarantineSystemTest.kt
@@ -229,7 +229,7 @@
         repeat(3) {
             val send = send(prompt(SOUND))
             val check = gateway.tick(lost(send)).only<CheckHealth>()
-            gateway.tick(HealthChecked(check.server, true, 0, null))
+            gateway.tick(HealthChecked(check.server, true, 0, null, askedMs = check.askedMs))
         }
 
         expectThat(isQuarantined(SOUND)).isFalse()
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ServerLimitTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ServerLimitTest.kt
@@ -89,7 +89,9 @@
 
         expectThat(fleet.worstExcess(LIMIT_PER_S, fromMs)).isLessThanOrEqualTo(0.0)
         expectThat(fleet.retryAfterMs.drop(refusedBefore)).all { isNotNull().isGreaterThan(0) }
-        expectThat(fleet.refusalAgesMs.drop(refusedBefore).average()).isLessThan(MAX_REFUSAL_MS)
+        expectThat(
+            fleet.refusalAgesMs.values.drop(refusedBefore).average(),
+        ).isLessThan(MAX_REFUSAL_MS)
         expectThat(served.toDouble() / (fleet.engines.size * LIMIT_PER_S * 12))
             .isGreaterThan(MIN_USED_SHARE)
     }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
@@ -149,7 +149,7 @@
 
     /** Times after which callers were told to come back, and the ages of refused calls. */
     val retryAfterMs = ArrayList<Long?>()
-    val refusalAgesMs = ArrayList<Long>()
+    val refusalAgesMs = LinkedHashMap<RequestId, Long>()
     private val requests = HashMap<Pair<VmId, CallId>, RequestId>()
 
     /** Called when a caller's call is refused. */
@@ -290,7 +290,7 @@
             val request = requests[vm.identity.vm to command.call] ?: return
             refusals[request] = command.reason
             retryAfterMs += command.retryAfterMs
-            refusalAgesMs += nowMs - arrivedMs.getValue(request)
+            refusalAgesMs[request] = nowMs - arrivedMs.getValue(request)
             onRefused(request)
             return
         }
@@ -309,7 +309,7 @@
         val engine = byEngine.getValue(command.server)
         val isUp = engine.isUp(nowMs)
         val coldForMs = if (isUp) engine.coldForMs(nowMs) else null
-        val checked = HealthChecked(command.server, isUp, coldForMs, null, !isUp)
+        val checked = HealthChecked(command.server, isUp, coldForMs, null, !isUp, command.askedMs)
         schedule(nowMs + LOCAL_DELAY_MS) { vm.inbox += checked }
     }
 
@@ -332,7 +332,7 @@
                     arrive(vm, start, engine, spec)
                 } else {
                     val reason = NotWrittenReason.CONNECT_FAILED
-                    vm.inbox += SendNotWritten(start.send, reason)
+                    vm.inbox += SendNotWritten(start.send, reason, isRefused = true)
                 }
             }
         }
