Leave servers that may be cold out of what other regions are told

When all servers of a region were cold, callers waited 0.7 s on average before they were refused: each VM passed the call to the VMs of other regions one after the other, whose summaries still offered the cold servers.

What a cold server takes is little and is shared by the VMs of its region. The summary leaves it out, like a server at its limit, so that a call without a place is refused at once.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServiceSummary.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServiceSummary.kt
@@ -23,6 +23,7 @@
     val usable = world.backends.filter {
         it.record.service == service &&
             isUsable(world, it, nowMs) &&
+            !mayBeCold(it, nowMs) &&
             hasLimitCapacity(world, it, nowMs, isModest = true)
     }
     val urgentPriority = world.catalog?.mostUrgentPriority(service) ?: 0
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
@@ -164,7 +164,6 @@
 
     // Guards against callers that wait for servers that are known to be cold, and against cold
     // servers that get nothing.
-    @Tag("known-red")
     @Test
     fun `when all servers restart, cold ones get their share and the rest is refused at once`() {
         val fleet = startedFleet()
