Divide what cold servers take by all VMs that may send

Cold servers got more than they take (FAILBACK) from VMs that had lost each other for over a minute, or had started while they were cut off: each divided the limit by the peers that it knew at the moment.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
@@ -68,6 +68,8 @@
 
     private var regionPeers: List<Peer> = emptyList()
     private var regionPeersVersion = -1L
+    private var regionVms: List<VmId> = emptyList()
+    private var regionVmsVersion = -1L
 
     fun regionOf(domain: FailureDomainId): RegionId? = regions[domain]
 
@@ -80,6 +82,16 @@
         return regionPeers
     }
 
+    /** All VMs of this region that this process knows, silent ones and itself included. */
+    fun regionVms(): List<VmId> {
+        if (regionVmsVersion != process.membershipVersion) {
+            regionVmsVersion = process.membershipVersion
+            val others = peers.filter { it.identity.region == self.region }
+            regionVms = others.map { it.vm } + self.vm
+        }
+        return regionVms
+    }
+
     fun service(id: ServiceId): ServiceState = services.getOrPut(id) { ServiceState(id) }
 }
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
@@ -175,7 +175,10 @@
     ) {
         val from = message.from
         if (from.vm == self.vm) return
-        val peer = world.peers.getOrPut(from.vm) { Peer(from) }
+        val peer = world.peers.getOrPut(from.vm) {
+            world.process.membershipVersion++
+            Peer(from)
+        }
         if (from.incarnation != peer.incarnation) {
             val isSilent = tick.nowMs - peer.lastHeardMs > RESTART_SILENCE_MS
             if (from.incarnation < peer.incarnation && !isSilent) return
@@ -258,7 +261,9 @@
             tick.journal.log(event, details)
             tick.journal.count(Counter.MEMBERSHIP, event.name.removePrefix("VM_").lowercase())
         }
+        val peerCount = world.peers.size
         world.peers.removeIf { tick.nowMs - it.lastHeardMs > PEER_RETENTION_MS }
+        if (world.peers.size < peerCount) world.process.membershipVersion++
     }
 
     private fun sendDue(world: GatewayWorld, tick: GatewayTick, isUrgent: Boolean) {
--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RegionShares.kt
@@ -0,0 +1,36 @@
+/*
+ * How the VMs of a region divide what a backend server takes from all of them together. They need no
+ * agreement: each divides by all VMs that may send, those included that it cannot reach or has not
+ * met yet, so that their parts add up to no more than the whole.
+ */
+package org.pomeloladder.gateway
+
+import org.pomeloladder.configuration.VmId
+import org.pomeloladder.decisions.rendezvousOrder
+
+/** A process that has just started does not know yet how many others there are. */
+private const val DISCOVERY_MS = 1_000L
+
+/** VMs that a process assumes in its region before it has heard of all its seeds. */
+private const val ASSUMED_VMS = 10
+
+/** Number of VMs of this region that may send to its servers, this one included. */
+internal fun sharingVmCount(world: GatewayWorld): Int = maxOf(
+    world.regionVms().size,
+    world.process.knownRegionVms + 1,
+    if (world.process.hasMetSeeds) 1 else ASSUMED_VMS,
+)
+
+/** Whether this process is too young to know its peers, and has no part yet. */
+internal fun isDiscovering(world: GatewayWorld, nowMs: Long): Boolean =
+    nowMs - (world.process.startedMs ?: nowMs) < DISCOVERY_MS
+
+/**
+ * Whether this process is one of the [count] VMs that may send to [backend] when there are more VMs
+ * than parts. All VMs with the same view choose the same.
+ */
+internal fun isAmongSenders(world: GatewayWorld, backend: Backend, count: Int): Boolean {
+    val key = backend.id.value.hashCode().toLong()
+    val ranked = world.regionVms().rendezvousOrder(key, VmId::value)
+    return ranked.indexOf(world.self.vm) < count
+}
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLimit.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLimit.kt
@@ -6,9 +6,7 @@
 package org.pomeloladder.gateway
 
 import org.pomeloladder.configuration.ServiceId
-import org.pomeloladder.configuration.VmId
 import org.pomeloladder.decisions.LogEvent
-import org.pomeloladder.decisions.rendezvousOrder
 
 /** A share of the limit that was not used may be used later, up to what it allows in this time. */
 private const val BURST_S = 0.75
@@ -22,12 +20,6 @@
  */
 private const val EXTRA_SENDERS = 4
 
-/** A process that has just started does not know yet how many others share a limit. */
-private const val DISCOVERY_MS = 1_000L
-
-/** VMs that a process assumes in its region before it has heard of all its seeds. */
-private const val ASSUMED_VMS = 10
-
 private const val MS_PER_S = 1_000.0
 
 /** What is known of the limit of one server, and what this process may still use of it. */
@@ -140,20 +132,10 @@
  * few.
  */
 private fun limitSharePerS(world: GatewayWorld, backend: Backend, nowMs: Long): Double {
-    val process = world.process
     val perS = maxOf(backend.life.limit.perS ?: 0.0, MIN_LIMIT_PER_S)
-    if (nowMs - (process.startedMs ?: nowMs) < DISCOVERY_MS) return 0.0
-    val region = world.self.region
-    val vms = world.peers.filter { it.identity.region == region }.map { it.vm } + world.self.vm
-    val count = maxOf(
-        vms.size,
-        process.knownRegionVms + 1,
-        if (process.hasMetSeeds) 1 else ASSUMED_VMS,
-    )
+    if (isDiscovering(world, nowMs)) return 0.0
+    val count = sharingVmCount(world)
     val senders = minOf(count, (perS + EXTRA_SENDERS).toInt())
-    if (senders < count) {
-        val key = backend.id.value.hashCode().toLong()
-        if (vms.rendezvousOrder(key, VmId::value).indexOf(world.self.vm) >= senders) return 0.0
-    }
+    if (senders < count && !isAmongSenders(world, backend, senders)) return 0.0
     return perS / senders
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
@@ -4,20 +4,11 @@
  */
 package org.pomeloladder.gateway
 
-import org.pomeloladder.configuration.VmId
-import org.pomeloladder.decisions.rendezvousOrder
-
 /**
  * Part of a cold server's limit that stays unused, for calls of other processes at the same moment.
  */
 private const val COLD_RESERVE = 1.0
 
-/**
- * A process that has just started does not know yet how many others share the limit of a cold
- * server.
- */
-private const val PEER_DISCOVERY_MS = 1_000L
-
 /**
  * Part of the drain time that stays unused, since news of the drain and the calls themselves take
  * time to arrive.
@@ -79,12 +70,8 @@
 private fun coldAllowance(world: GatewayWorld, backend: Backend, nowMs: Long): Int {
     val rate = world.catalog?.service(backend.record.service)?.coldRequestsPerS ?: return 0
     val bound = (rate * world.bounds.coldOverage + world.bounds.coldSlack - COLD_RESERVE).toInt()
-    val region = world.self.region
-    val uptimeMs = nowMs - (world.process.startedMs ?: nowMs)
-    if (uptimeMs < PEER_DISCOVERY_MS) return 0
-    val vms = world.peers.filter { it.identity.region == region }.map { it.vm } + world.self.vm
-    if (vms.size <= bound) return bound / vms.size
-    val key = backend.id.value.hashCode().toLong()
-    val rank = vms.rendezvousOrder(key, VmId::value).indexOf(world.self.vm)
-    return if (rank < bound) 1 else 0
+    if (isDiscovering(world, nowMs)) return 0
+    val count = sharingVmCount(world)
+    if (count <= bound) return bound / count
+    return if (isAmongSenders(world, backend, bound)) 1 else 0
 }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
@@ -132,6 +132,34 @@
         expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
     }
 
+    // Guards against a process that forgets the peers that it has not heard of for long, and takes
+    // their shares as well.
+    @Test
+    fun `processes that lost each other minutes ago use their shares of a cold server only`() {
+        val fleet = startedFleet()
+        REGIONS.forEach { fleet.isolate(it, 0) }
+        fleet.run(120_000)
+        fleet.crashEngines(count = 3, downMs = 1_200)
+        fleet.play(7_000)
+
+        expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
+    }
+
+    // Guards against a process that starts while it is cut off and knows of no others.
+    @Test
+    fun `processes that start while they are cut off don't each take a cold server for their own`() {
+        val fleet = startedFleet()
+        REGIONS.forEach { region ->
+            repeat(3) { fleet.isolate(region, it) }
+            repeat(2) { fleet.restart(region, it + 1) }
+        }
+        fleet.run(2_000)
+        fleet.crashEngines(count = 3, downMs = 1_200)
+        fleet.play(7_000)
+
+        expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
+    }
+
     // Guards against a share that is given out once more when a cold state becomes known late.
     @Test
     fun `calls that were sent before a server is known to be cold count against the share`() {
