--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
@@ -147,7 +147,7 @@
 
     // Guards against a process that starts while it is cut off and knows of no others.
     @Test
-    fun `processes that start while they are cut off don't each take a cold server for their own`() {
+    fun `processes that start while cut off don't each take a cold server for their own`() {
         val fleet = startedFleet()
         REGIONS.forEach { region ->
             repeat(3) { fleet.isolate(region, it) }
