Follow a store that comes back from a copy, and keep what it lost in force

Cause: the reader, and VMs among each other, ordered what they knew by revision alone. Revisions of the new era are lower, so that everything read after the 410 was skipped and each watch began at a revision that the store didn't have.

Views and datagrams carry the era: a position is an era and a revision, and a view of a later era is newer whatever its revision. Versions of the catalog order it in all eras, since operators only count up: neither the older version of the copy nor one that is written again in between comes into force; a version that is given out again with other contents does.

Peers get the view as it was read, so that each VM ends this by itself.

--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/LogEvent.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/LogEvent.kt
@@ -31,6 +31,7 @@
     PLATFORM_REACHABLE(205, Severity.INFO, "platform service answers again"),
     PEER_VIEW_MISSING(206, Severity.WARN, "view of a peer not received"),
     CONFIG_UNREADABLE(207, Severity.ERROR, "published configuration cannot be decoded"),
+    PLATFORM_RESTORED(208, Severity.WARN, "platform came back from an older copy"),
     VM_SUSPECTED(300, Severity.WARN, "entry VM suspected"),
     VM_LIVE(301, Severity.INFO, "entry VM live"),
     VM_DEAD(302, Severity.WARN, "entry VM considered dead"),
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -81,8 +81,9 @@
     var isLive = false
     var isDraining = false
     var isReady = false
-    var revision = 0L
+    var position = PlatformPosition(PlatformEra.UNKNOWN, 0)
     var catalogVersion = 0L
+    var catalogEra = PlatformEra.UNKNOWN
     var roundTripMs = 0.0
 
     /**
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/EntrySystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/EntrySystem.kt
@@ -15,8 +15,7 @@
     private data class Inputs(
         val isReady: Boolean,
         val isDraining: Boolean,
-        val revision: Long?,
-        val catalogVersion: Long?,
+        val viewVersion: Long,
         val membershipVersion: Long,
     )
 
@@ -27,8 +26,7 @@
         val current = Inputs(
             isReady = process.isReady,
             isDraining = process.isDraining,
-            revision = process.view?.revision,
-            catalogVersion = process.view?.catalog?.version,
+            viewVersion = process.viewVersion,
             membershipVersion = process.membershipVersion,
         )
         if (current == inputs) return
@@ -38,7 +36,7 @@
             isDraining = process.isDraining,
             limits = world.catalog?.limits ?: CallerLimits(),
             entries = entries(world),
-            publishedView = process.view,
+            publishedView = process.receivedView,
         )
         val before = process.entryView
         if (view == before) return
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
@@ -97,7 +97,14 @@
 
 /** State of the whole process. */
 class GatewayState {
+    /** What is in force: [receivedView] with what the platform lost and nobody wrote again. */
     var view: PublishedView? = null
+
+    /** The newest view as it was received, which peers get. */
+    var receivedView: PublishedView? = null
+
+    /** Incremented whenever [view] changes, which may leave its position as it is. */
+    var viewVersion = 0L
     var isPlatformReachable = false
     var isDraining = false
     var drainStartedMs = 0L
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
@@ -138,6 +138,9 @@
     @SerialName("m") val catalogVersion: Long = 0,
     @SerialName("n") val limits: List<LimitReport> = emptyList(),
     @SerialName("o") val restarts: List<RestartReport> = emptyList(),
+    /** The eras of [revision] and of the configuration in force. */
+    @SerialName("p") val era: PlatformEra = PlatformEra.UNKNOWN,
+    @SerialName("q") val catalogEra: PlatformEra = PlatformEra.UNKNOWN,
 )
 
 /** A VM that the sender considers live, listed for peers that do not know it yet. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
@@ -103,9 +103,9 @@
     private var lastScanMs = Long.MIN_VALUE / 2
     private var lastSelectionMs = Long.MIN_VALUE / 2
 
-    /** Membership version and view revision for which the peers' load was last added up. */
-    private var totalsVersion = -1L
-    private var totalsRevision: Long? = null
+    /** Versions of membership and view for which the peers' load was last added up. */
+    private var totalsMembershipVersion = -1L
+    private var totalsViewVersion = -1L
     private val local = SendSchedule(MIN_LOCAL_INTERVAL_MS)
     private val remote = SendSchedule(MIN_REMOTE_INTERVAL_MS)
 
@@ -184,8 +184,9 @@
             if (from.incarnation < peer.incarnation && !isSilent) return
             peer.identity = from
             peer.latestSentMs = 0
-            peer.revision = 0
+            peer.position = PlatformPosition(PlatformEra.UNKNOWN, 0)
             peer.catalogVersion = 0
+            peer.catalogEra = PlatformEra.UNKNOWN
             world.process.membershipVersion++
         }
         removeReplaced(world, from)
@@ -198,8 +199,9 @@
         peer.isDraining = message.isDraining
         peer.isReady = message.isReady
         peer.isLinkWanted = echo.isLinkWanted
-        peer.revision = message.revision
+        peer.position = PlatformPosition(message.era, message.revision)
         peer.catalogVersion = message.catalogVersion
+        peer.catalogEra = message.catalogEra
         peer.services = message.services.associateBy { it.service }
         peer.shares = message.shares
         peer.relayedSinceDatagram = 0
@@ -333,6 +335,8 @@
             isReady = world.process.isReady,
             revision = view?.revision ?: 0,
             catalogVersion = view?.catalog?.version ?: 0,
+            era = view?.era ?: PlatformEra.UNKNOWN,
+            catalogEra = view?.catalogPosition?.era ?: PlatformEra.UNKNOWN,
             shares = if (isLocal) loadShares(world, tick) else emptyList(),
             services = if (isLocal) emptyList() else serviceLoads(world, tick),
             cached = if (isLocal) world.recentlyCached.takeLast(MAX_CACHED_PARTS) else emptyList(),
@@ -368,12 +372,12 @@
 
     /** The totals depend on datagrams, on the set of live peers and on the table of servers. */
     private fun areTotalsStale(world: GatewayWorld) =
-        totalsVersion != world.process.membershipVersion ||
-            totalsRevision != world.process.view?.revision
+        totalsMembershipVersion != world.process.membershipVersion ||
+            totalsViewVersion != world.process.viewVersion
 
     private fun updatePeerTotals(world: GatewayWorld) {
-        totalsVersion = world.process.membershipVersion
-        totalsRevision = world.process.view?.revision
+        totalsMembershipVersion = world.process.membershipVersion
+        totalsViewVersion = world.process.viewVersion
         for (backend in world.backends) {
             backend.life.gapEstimator.clearPeerSamples()
             backend.peerInFlight = 0
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PublishedView.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PublishedView.kt
@@ -1,6 +1,6 @@
 /*
- * Everything that the platform publishes, at one revision. A VM that the platform does not answer
- * fetches it from a peer.
+ * Everything that the platform publishes, at one position of its history. A VM that the platform
+ * does not answer fetches it from a peer.
  */
 package org.pomeloladder.gateway
 
@@ -28,8 +28,34 @@
 )
 
 /**
- * Catalog, backend servers and evacuated failure domains. [revision] never decreases within one
- * process.
+ * A part of the platform's history. A new era begins when the platform comes back from an older
+ * copy of itself and has lost what it acknowledged since. It then gives out the revisions after
+ * those of the copy once more.
+ */
+@Serializable
+@JvmInline
+value class PlatformEra(val value: Long) : Comparable<PlatformEra> {
+    override fun compareTo(other: PlatformEra) = value.compareTo(other.value)
+
+    override fun toString() = value.toString()
+
+    companion object {
+        /** The era of a platform that names none. */
+        val UNKNOWN = PlatformEra(0)
+    }
+}
+
+/** A position in the platform's history. Any position of a later era is newer. */
+@Serializable
+data class PlatformPosition(val era: PlatformEra, val revision: Long) :
+    Comparable<PlatformPosition> {
+    override fun compareTo(other: PlatformPosition) =
+        compareValuesBy(this, other, { it.era }, { it.revision })
+}
+
+/**
+ * Catalog, backend servers and evacuated failure domains, as of [revision] in [era]. The catalog was
+ * read at [catalogPosition]. Its version never decreases within one process, whatever the era.
  */
 @Serializable
 data class PublishedView(
@@ -37,16 +63,36 @@
     val catalog: Catalog,
     val backends: List<BackendRecord>,
     val evacuated: Set<FailureDomainId>,
+    val era: PlatformEra = PlatformEra.UNKNOWN,
+    val catalogPosition: PlatformPosition = PlatformPosition(era, revision),
 ) {
+    val position: PlatformPosition
+        get() = PlatformPosition(era, revision)
+
     /**
-     * Returns this view with what [other] has of a newer version or revision, or this view if it has
+     * Returns this view with what [other] has of a newer version or position, or this view if it has
      * nothing newer. Catalog and servers are compared apart, since a VM that cannot decode the
-     * newest catalog still follows the servers.
+     * newest catalog still follows the servers, and a copy brings back servers at a newer position
+     * together with an older catalog.
      */
     fun updatedBy(other: PublishedView): PublishedView {
-        val isCatalogNewer = other.catalog.version > catalog.version
-        if (!isCatalogNewer && other.revision <= revision) return this
-        val latest = if (other.revision > revision) other else this
-        return latest.copy(catalog = if (isCatalogNewer) other.catalog else catalog)
+        val isCatalogNewer = isCatalogOlderThan(
+            other.catalog.version,
+            other.catalogPosition,
+        )
+        if (!isCatalogNewer && other.position <= position) return this
+        val latest = if (other.position > position) other else this
+        val catalogSource = if (isCatalogNewer) other else this
+        return latest.copy(
+            catalog = catalogSource.catalog,
+            catalogPosition = catalogSource.catalogPosition,
+        )
     }
+
+    /**
+     * Whether the catalog is older than one of [version] read at [otherPosition]. A new era may give
+     * a version out again with other contents.
+     */
+    fun isCatalogOlderThan(version: Long, otherPosition: PlatformPosition): Boolean =
+        version > catalog.version || version == catalog.version && otherPosition > catalogPosition
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
@@ -1,6 +1,7 @@
 /*
  * Applies views of what the platform publishes, received from the platform or from a peer, and
- * updates the table of backend servers accordingly. Nothing older replaces anything newer.
+ * updates the table of backend servers accordingly. Nothing older replaces anything newer; what the
+ * platform lost by coming back from an older copy stays in force until it is written again.
  */
 package org.pomeloladder.gateway
 
@@ -42,6 +43,8 @@
     /** Peers asked for their view since this process fell behind. */
     private val askedPeers = HashSet<VmId>()
 
+    private val lostWrites = LostWrites()
+
     override fun run(world: GatewayWorld, tick: GatewayTick) {
         tick.each<PlatformReachability> { updateReachability(world, tick, it) }
         tick.each<ConfigurationUnreadable> {
@@ -52,6 +55,7 @@
             tick.journal.log(LogEvent.PEER_VIEW_MISSING, details)
         }
         tick.each<ViewReceived> { apply(world, tick, it) }
+        endLostWrites(world, tick)
         removeMissing(world, tick)
         fetchFromPeer(world, tick)
     }
@@ -73,12 +77,33 @@
     }
 
     private fun apply(world: GatewayWorld, tick: GatewayTick, received: ViewReceived) {
-        val before = world.process.view
-        val view = before?.updatedBy(received.view) ?: received.view
-        if (view === before) return
+        val latest = world.process.receivedView
+        val view = latest?.updatedBy(received.view) ?: received.view
+        if (view === latest) return
+        world.process.receivedView = view
         if (view.catalog.version > received.view.catalog.version) logOlder(tick, received.view)
+        if (latest?.catalog != view.catalog) logCatalog(tick, received)
+        if (latest != null && view.era > latest.era) {
+            val known = checkNotNull(world.process.view)
+            lostWrites.compare(known, view, tick.nowMs)
+            logNewEra(tick, view, latest)
+        }
+        putInForce(world, tick, view)
+    }
+
+    /** Ends lost writes that nobody has written again in time. */
+    private fun endLostWrites(world: GatewayWorld, tick: GatewayTick) {
+        val endMs = lostWrites.nextEndMs ?: return
+        if (tick.nowMs < endMs) return tick.wakeAt(endMs)
+        world.process.receivedView?.let { putInForce(world, tick, it) }
+    }
+
+    private fun putInForce(world: GatewayWorld, tick: GatewayTick, received: PublishedView) {
+        val before = world.process.view
+        val view = lostWrites.applyTo(received, tick.nowMs)
         world.process.view = view
-        if (before?.catalog?.version != view.catalog.version) logCatalog(tick, received)
+        world.process.viewVersion++
+        if (before?.era == view.era) lostWrites.recordEndedLives(before, view, tick.nowMs)
         val restored = before?.evacuated.orEmpty() - view.evacuated
         for (domain in view.evacuated - before?.evacuated.orEmpty()) {
             tick.journal.log(LogEvent.DOMAIN_EVACUATED, mapOf("domain" to domain))
@@ -86,10 +111,25 @@
         updateBackends(world, tick, view, restored)
     }
 
+    private fun logNewEra(tick: GatewayTick, view: PublishedView, latest: PublishedView) {
+        val details = mapOf(
+            "era" to view.era,
+            "revision" to view.revision,
+            "lastEra" to latest.era,
+            "lastRevision" to latest.revision,
+            "lostWrites" to lostWrites.size,
+        )
+        tick.journal.log(LogEvent.PLATFORM_RESTORED, details)
+    }
+
     private fun logOlder(tick: GatewayTick, view: PublishedView) {
         if (view.catalog.version == lastIgnoredVersion) return
         lastIgnoredVersion = view.catalog.version
-        val details = mapOf("version" to view.catalog.version, "revision" to view.revision)
+        val details = mapOf(
+            "version" to view.catalog.version,
+            "revision" to view.revision,
+            "era" to view.era,
+        )
         tick.journal.log(LogEvent.CONFIG_OLDER_IGNORED, details)
     }
 
@@ -97,6 +137,7 @@
         val details = mapOf(
             "version" to received.view.catalog.version,
             "revision" to received.view.revision,
+            "era" to received.view.era,
             "source" to received.source,
             "routes" to received.view.catalog.routes.size,
         )
@@ -190,12 +231,7 @@
     }
 
     private fun fetchFromPeer(world: GatewayWorld, tick: GatewayTick) {
-        val view = world.process.view
-        val ownRevision = view?.revision ?: -1
-        val ownVersion = view?.catalog?.version ?: -1
-        val peersAhead = world.peers.filter {
-            it.isLive && (it.revision > ownRevision || it.catalogVersion > ownVersion)
-        }
+        val peersAhead = world.peers.filter { it.isLive && isAhead(it, world.process.receivedView) }
         if (peersAhead.isEmpty()) {
             behindSinceMs = null
             askedPeers.clear()
@@ -212,6 +248,14 @@
         tick.wakeAt(tick.nowMs + FETCH_INTERVAL_MS)
     }
 
+    private fun isAhead(peer: Peer, view: PublishedView?): Boolean = view == null ||
+        peer.position > view.position ||
+        view.isCatalogOlderThan(
+            peer.catalogVersion,
+            // Within one era, a version has one content.
+            PlatformPosition(peer.catalogEra, view.catalogPosition.revision),
+        )
+
     /** Returns the nearest of [peers] that was not asked yet, since others may not answer. */
     private fun selectPeer(peers: List<Peer>): Peer {
         if (peers.all { it.vm in askedPeers }) askedPeers.clear()
