Choose the senders to a cold server among all VMs that were listed lately

The count was that of the last hour already, the choice was made among the VMs heard of within a minute.

Both use the list of the last hour now. A VM that has not met all its seeds has no part when there are fewer parts than VMs, since it can't know who has them. The test of twenty VMs crashes all engines of a region now, so that the cold ones are needed.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
@@ -82,12 +82,14 @@
         return regionPeers
     }
 
-    /** All VMs of this region that this process knows, silent ones and itself included. */
+    /**
+     * All VMs of this region that this process has heard of within the last hour, itself included.
+     */
     fun regionVms(): List<VmId> {
         if (regionVmsVersion != process.membershipVersion) {
             regionVmsVersion = process.membershipVersion
-            val others = peers.filter { it.identity.region == self.region }
-            regionVms = others.map { it.vm } + self.vm
+            val others = peers.filter { it.identity.region == self.region }.map { it.vm }
+            regionVms = (process.listedRegionVms + others + self.vm).toList()
         }
         return regionVms
     }
@@ -121,8 +123,10 @@
     /** Number of other VMs in the fleet that were listed within the last minute. */
     var knownVms = 0
 
-    /** Number of other VMs of this region that were listed within the last hour. */
-    var knownRegionVms = 0
+    /** Other VMs of this region that were listed within the last hour. */
+    var listedRegionVms = emptySet<VmId>()
+    val knownRegionVms: Int
+        get() = listedRegionVms.size
 
     /** Whether this process has heard of all its seeds since its start, be it from other VMs. */
     var hasMetSeeds = false
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
@@ -146,7 +146,10 @@
             world.peers[vm]?.let { tick.nowMs - it.lastHeardMs < MIN_TIMEOUT_MS } == true
         }
         world.process.knownVms = links.knownVmCount
-        world.process.knownRegionVms = links.regionVmCount
+        if (world.process.listedRegionVms != links.regionVms) {
+            world.process.listedRegionVms = links.regionVms.toSet()
+            world.process.membershipVersion++
+        }
         if (!world.process.hasMetSeeds) {
             world.process.hasMetSeeds = world.seeds.all { links.knowsAddress(it) }
         }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RegionLinks.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RegionLinks.kt
@@ -50,9 +50,11 @@
     val knownVmCount: Int
         get() = knownVms.size
 
-    /** Number of other VMs of this region that were listed within the last hour. */
+    /** Other VMs of this region that were listed within the last hour. */
+    val regionVms: Set<VmId>
+        get() = regionVmsListedMs.keys
     val regionVmCount: Int
-        get() = regionVmsListedMs.size
+        get() = regionVms.size
 
     /** VMs of other regions that are selected as links. */
     var linkedVms: Set<VmId> = emptySet()
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RegionShares.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RegionShares.kt
@@ -17,7 +17,6 @@
 /** Number of VMs of this region that may send to its servers, this one included. */
 internal fun sharingVmCount(world: GatewayWorld): Int = maxOf(
     world.regionVms().size,
-    world.process.knownRegionVms + 1,
     if (world.process.hasMetSeeds) 1 else ASSUMED_VMS,
 )
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
@@ -73,5 +73,7 @@
     if (isDiscovering(world, nowMs)) return 0
     val count = sharingVmCount(world)
     if (count <= bound) return bound / count
+    // Which VMs have a part is not known before all have been heard of.
+    if (!world.process.hasMetSeeds) return 0
     return if (isAmongSenders(world, backend, bound)) 1 else 0
 }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
@@ -84,7 +84,7 @@
     fun `a restarted server gets no more from twenty processes than from three`(downMs: Long) {
         val fleet = startedFleet(vmsPerRegion = MANY_VMS)
         fleet.storeDelayMs = STORE_DELAY_MS
-        fleet.crashEngines(count = 2, downMs)
+        fleet.crashEngines(count = 3, downMs)
         fleet.play(downMs + 6_000)
 
         expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
@@ -145,6 +145,18 @@
         expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
     }
 
+    // Guards against both sides of a split region that choose senders of their own.
+    @Test
+    fun `twenty processes that were split for minutes use their shares of a cold server only`() {
+        val fleet = startedFleet(vmsPerRegion = MANY_VMS)
+        repeat(12) { index -> REGIONS.forEach { fleet.isolate(it, index) } }
+        fleet.run(120_000)
+        fleet.crashEngines(count = 3, downMs = 500)
+        fleet.play(6_000)
+
+        expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
+    }
+
     // Guards against a process that starts while it is cut off and knows of no others.
     @Test
     fun `processes that start while cut off don't each take a cold server for their own`() {
