Check each doubt soon, and let only clear evidence end it

- A doubt that has not been checked is checked within 50 ms, whenever the check before was sent; the long interval holds between checks of one doubt only, and is a second at most.
- A rejected check without a cold time, and one that was asked before a refusal, prove nothing.
A check that is not answered raises no doubt in a server that was heard meanwhile, nor does one from before the last proof.
- An entry begins a new life, but does not end a doubt, which may be newer.
- Peers are told of a server that was found to be cold without a refusal, and of all refused servers in turn.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
@@ -346,7 +346,7 @@
             others = others.map { PeerAddress(it.vm, it.identity.gossip, it.identity.region) },
             evidence = evidenceReports(world, tick.nowMs),
             limits = if (isLocal) limitReports(world, tick.nowMs) else emptyList(),
-            restarts = if (isLocal) restartReports(world, tick.nowMs) else emptyList(),
+            restarts = if (isLocal) restartReports(world, tick) else emptyList(),
         )
     }
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
@@ -18,6 +18,7 @@
 
 /** Number of VMs that check a server at [CHECK_INTERVAL_MS]. More of them check it less often. */
 private const val FREQUENT_CHECKERS = 5
+private const val MAX_CHECK_INTERVAL_MS = 1_000L
 
 /**
  * Subtracted from the time of a proof that another VM reports. It exceeds the delay of a datagram,
@@ -34,7 +35,10 @@
  * [sinceMs]. [isRefused] tells whether it, or its host, has refused a connection: nothing listened
  * then, so that the life has ended.
  */
-class LifeDoubt(val sinceMs: Long, var isRefused: Boolean)
+class LifeDoubt(var sinceMs: Long, var isRefused: Boolean) {
+    /** Whether a health check has been sent since the doubt arose or grew. */
+    var isChecked = false
+}
 
 /** Doubts the lives of servers, checks them, and tells the VMs of the region. */
 class RestartSystem(private val placer: CallPlacer) : GatewaySystem {
@@ -64,18 +68,21 @@
         val reason = (event.outcome as? SendOutcome.Broken)?.reason
         if (reason != BreakReason.CONNECTION_LOST && reason != BreakReason.TRUNCATED) return
         val backend = serverOf(world, event.send) ?: return
-        // The connection of an earlier life says nothing of this one.
-        val startedMs = world.sends[event.send]?.startedMs ?: return
-        if (startedMs < backend.life.learnedMs) return
         doubt(world, tick, backend, isRefused = false, reason.name.lowercase())
     }
 
     private fun onHealthChecked(world: GatewayWorld, tick: GatewayTick, check: HealthChecked) {
         val backend = world.backends[check.server] ?: return
+        if (check.askedMs < backend.provenMs) return
         val coldForMs = check.coldForMs
         if (coldForMs == null) {
+            // A full server may keep a check waiting while it answers calls.
+            val isHeard = backend.life.lastHeardMs >= check.askedMs
+            if (isHeard && !check.isRefused) return
             return doubt(world, tick, backend, check.isRefused, "health check")
         }
+        // A rejected check names no cold time, so it does not show that the server is warm.
+        if (!check.isHealthy && coldForMs <= 0) return
         val doubt = backend.doubt ?: return
         if (check.askedMs >= doubt.sinceMs) prove(world, tick, backend, coldForMs, by = "check")
     }
@@ -90,8 +97,11 @@
         val backend = world.backends[report.server] ?: return
         val refusedMs = report.refusedAgeMs?.let { tick.nowMs - it.coerceAtLeast(0) }
         val provenMs = report.provenAgeMs?.let { tick.nowMs - it.coerceAtLeast(0) }
-        if (refusedMs != null && refusedMs > backend.provenMs && backend.doubt == null) {
-            doubt(world, tick, backend, isRefused = false, "peer", refusedMs)
+        // Without a refusal only the proof tells that the server has started again.
+        val isSurprise = report.coldForMs > 0 && tick.nowMs >= backend.life.coldUntilMs
+        val restartedMs = refusedMs ?: provenMs.takeIf { isSurprise }
+        if (restartedMs != null && restartedMs > backend.provenMs && backend.doubt == null) {
+            doubt(world, tick, backend, isRefused = false, "peer", restartedMs)
         }
         val sinceMs = backend.doubt?.sinceMs ?: return
         if (provenMs != null && provenMs - REPORT_DELAY_MS > sinceMs) {
@@ -118,7 +128,7 @@
             tick.journal.log(LogEvent.BACKEND_DOUBTED, details)
         }
         if (isRefused && known?.isRefused != true) {
-            backend.doubt?.isRefused = true
+            backend.doubt = LifeDoubt(tick.nowMs, isRefused = true)
             backend.refusedMs = tick.nowMs
             backend.life = ServerLife(tick.nowMs)
             world.process.evidenceVersion++
@@ -156,13 +166,16 @@
     private fun checkDoubted(world: GatewayWorld, tick: GatewayTick) {
         if (world.doubtedServers.isEmpty()) return
         val vms = world.liveRegionPeers().size + 1
-        val intervalMs = CHECK_INTERVAL_MS * maxOf(1, vms / FREQUENT_CHECKERS)
+        val intervalMs = (CHECK_INTERVAL_MS * maxOf(1, vms / FREQUENT_CHECKERS))
+            .coerceAtMost(MAX_CHECK_INTERVAL_MS)
         world.doubtedServers.removeIf { world.backends[it]?.doubt == null }
         for (id in world.doubtedServers) {
             val backend = world.backends[id] ?: continue
-            val isNew = backend.doubt?.sinceMs == tick.nowMs
-            checkHealth(world, tick, backend, if (isNew) MIN_CHECK_INTERVAL_MS else intervalMs)
-            tick.wakeAt(backend.checkedMs + intervalMs)
+            val doubt = backend.doubt ?: continue
+            // A check before the doubt says nothing of it.
+            val minIntervalMs = if (doubt.isChecked) intervalMs else MIN_CHECK_INTERVAL_MS
+            if (checkHealth(world, tick, backend, minIntervalMs)) doubt.isChecked = true
+            tick.wakeAt(backend.checkedMs + minIntervalMs)
         }
     }
 
@@ -178,29 +191,41 @@
     }
 }
 
-/** Sends a health check to [backend], unless one was sent less than [minIntervalMs] ago. */
+/**
+ * Sends a health check to [backend], unless one was sent less than [minIntervalMs] ago. Returns
+ * whether it did.
+ */
 internal fun checkHealth(
     world: GatewayWorld,
     tick: GatewayTick,
     backend: Backend,
     minIntervalMs: Long,
-) {
-    if (tick.nowMs - backend.checkedMs < minIntervalMs) return
-    val service = world.catalog?.service(backend.record.service) ?: return
+): Boolean {
+    if (tick.nowMs - backend.checkedMs < minIntervalMs) return false
+    val service = world.catalog?.service(backend.record.service) ?: return false
     backend.checkedMs = tick.nowMs
     tick.emit(CheckHealth(backend.id, backend.record.address, service.healthPath, tick.nowMs))
+    return true
 }
 
 /** Returns what datagrams to the VMs of this region tell of restarts. */
-internal fun restartReports(world: GatewayWorld, nowMs: Long): List<RestartReport> =
-    world.backends.filter { nowMs - it.refusedMs < REPORT_MS }
-        .sortedByDescending { maxOf(it.refusedMs, it.provenMs) }
-        .take(MAX_REPORTS)
-        .map { backend ->
-            RestartReport(
-                server = backend.id,
-                refusedAgeMs = nowMs - backend.refusedMs,
-                provenAgeMs = if (backend.doubt == null) nowMs - backend.provenMs else null,
-                coldForMs = (backend.life.coldUntilMs - nowMs).coerceAtLeast(0),
-            )
-        }
+internal fun restartReports(world: GatewayWorld, tick: GatewayTick): List<RestartReport> {
+    val nowMs = tick.nowMs
+    val restarted = world.backends.filter { hasRestartNews(it, nowMs) }
+    // A random choice tells all of them within a few datagrams.
+    return restarted.shuffled(tick.random).take(MAX_REPORTS).map { backend ->
+        RestartReport(
+            server = backend.id,
+            refusedAgeMs = (nowMs - backend.refusedMs).takeIf { it < REPORT_MS },
+            provenAgeMs = if (backend.doubt == null) nowMs - backend.provenMs else null,
+            coldForMs = (backend.life.coldUntilMs - nowMs).coerceAtLeast(0),
+        )
+    }
+}
+
+private fun hasRestartNews(backend: Backend, nowMs: Long): Boolean {
+    val isProvenCold = backend.doubt == null &&
+        nowMs < backend.life.coldUntilMs &&
+        nowMs - backend.provenMs < REPORT_MS
+    return nowMs - backend.refusedMs < REPORT_MS || isProvenCold
+}
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
@@ -206,12 +206,15 @@
         backend.record = record
     }
 
-    /** Drops what is known of the earlier life, except how long this process may have to wait. */
+    /**
+     * Drops what is known of the earlier life, except how long the server may be cold. A doubt stays,
+     * since it may have arisen after the entry was written; a check is due at once.
+     */
     private fun startLife(backend: Backend, tick: GatewayTick) {
         val coldUntilMs = backend.life.coldUntilMs
         backend.life = ServerLife(tick.nowMs)
         backend.life.coldUntilMs = coldUntilMs
-        backend.endDoubt(tick.nowMs)
+        backend.doubt?.isChecked = false
     }
 
     private fun removeMissing(world: GatewayWorld, tick: GatewayTick) {
