Simplify the condition on which the stand-in of the store waits

Cause: detekt refuses the loop condition of a watch as too complex.

Change: its three parts that do not concern the time become a function.

Evidence: `mvn -o verify` with StoreStandInTest (7 tests) passes, detekt included.

--- a/standins/src/main/kotlin/org/pomeloladder/standins/StoreStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/StoreStandIn.kt
@@ -174,12 +174,7 @@
         var waitNanos = TimeUnit.MILLISECONDS.toNanos(waitMs.coerceAtMost(MAX_WAIT_MS))
         watches += watch
         try {
-            while (
-                !watch.isEnded &&
-                isAvailable(after) &&
-                waitNanos > 0 &&
-                changesAfter(after, prefix).isEmpty()
-            ) {
+            while (waitNanos > 0 && hasNothingFor(watch, prefix)) {
                 waitNanos = changed.awaitNanos(waitNanos)
             }
         } finally {
@@ -188,6 +183,9 @@
         return !watch.isGone && isAvailable(after)
     }
 
+    private fun hasNothingFor(watch: Watch, prefix: String) =
+        !watch.isEnded && isAvailable(watch.after) && changesAfter(watch.after, prefix).isEmpty()
+
     private fun isAvailable(after: Long) = after in historyStart..revision
 
     private fun changesAfter(after: Long, prefix: String) =
