--- a/decisions/src/main/kotlin/org/pomeloladder/configuration/Ids.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/configuration/Ids.kt
@@ -97,3 +97,13 @@
 
     override fun toString() = value.toString()
 }
+
+/** The period in which the configuration service wrote without coming back from an older copy. */
+@Serializable
+@JvmInline
+value class ConfigEra(val value: Long) {
+    /** Returns the era that begins when the service comes back from an older copy. */
+    fun next() = ConfigEra(value + 1)
+
+    override fun toString() = value.toString()
+}
