Order positions and revisions by the era in which they were written

Cause: positions of the log and revisions of the VM lists were ordered by a number that the service gives out again after it has come back from an older copy.

Change: a position has the era in which its last entry was written, and is ordered by era, then number; so are revisions of VM lists. `ConfigSequence` holds both in the one number that processes already exchange, which is unchanged for era 0, and only the reader of the platform knows the header.

`config status` shows positions of later eras as ERA:SEQUENCE.

--- a/cli/src/main/kotlin/org/pomeloladder/cli/ConfigCommands.kt
+++ b/cli/src/main/kotlin/org/pomeloladder/cli/ConfigCommands.kt
@@ -11,6 +11,7 @@
 import com.github.ajalt.clikt.parameters.types.file
 import kotlinx.serialization.json.JsonElement
 import org.http4k.core.Method
+import org.pomeloladder.configuration.ConfigSequence
 import org.pomeloladder.daemon.ConfigurationStatus
 import org.pomeloladder.daemon.PatchCheck
 
@@ -120,7 +121,7 @@
         address,
         status.vm,
         status.version?.toString() ?: "-",
-        status.sequence?.toString() ?: "-",
+        status.sequence?.let(::ConfigSequence)?.toString() ?: "-",
         status.digest?.take(DIGEST_DIGITS_SHOWN) ?: "-",
         formatDuration(status.ageMs),
         if (!status.isWatchingPlatform) "via peers" else reachability(status),
@@ -132,8 +133,11 @@
 
     private fun stateOf(sequence: Long?, newestSequence: Long?): String = when {
         sequence == null -> "no configuration"
-        newestSequence != null && sequence < newestSequence ->
-            "lags by ${newestSequence - sequence}"
+        newestSequence != null && sequence < newestSequence -> {
+            val newest = ConfigSequence(newestSequence)
+            val isSameEra = newest.era == ConfigSequence(sequence).era
+            if (isSameEra) "lags by ${newestSequence - sequence}" else "lags behind $newest"
+        }
         else -> "current"
     }
 
@@ -147,7 +151,9 @@
     private fun reportDivergence(statuses: List<ConfigurationStatus>): Boolean {
         val diverged = statuses.groupBy { it.sequence }
             .filterValues { sameSequence -> sameSequence.map { it.digest }.distinct().size > 1 }
-        diverged.keys.forEach { echo("digests differ at sequence $it", err = true) }
+        diverged.keys.forEach {
+            echo("digests differ at sequence ${it?.let(::ConfigSequence)}", err = true)
+        }
         return diverged.isNotEmpty()
     }
 }
--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/RealPlatformReader.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/RealPlatformReader.kt
@@ -1,6 +1,7 @@
 /*
  * Reads the platform over HTTP: the configuration by long polling, and the VM lists at a fixed
- * interval. Both pause while this process is not a watcher of its failure domain.
+ * interval. Both pause while this process is not a watcher of its failure domain. The era of an
+ * answer becomes part of its positions and revisions here, so that the rest only compares these.
  */
 package org.pomeloladder.daemon
 
@@ -14,9 +15,12 @@
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method
 import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
 import org.pomeloladder.configuration.Address
 import org.pomeloladder.configuration.BackendServerList
 import org.pomeloladder.configuration.ConfigEntry
+import org.pomeloladder.configuration.ConfigEra
 import org.pomeloladder.configuration.ConfigSequence
 import org.pomeloladder.configuration.ConfigSnapshot
 import org.pomeloladder.configuration.EntryVmList
@@ -47,6 +51,9 @@
  */
 private const val VM_LIST_INTERVAL_MS = 1_000L
 
+/** In an answer, the era in which its content was written; in a read, that of `after`. */
+private const val ERA_HEADER = "Config-Era"
+
 /** A response of the configuration log. */
 @Serializable
 data class ConfigLogPage(
@@ -111,14 +118,19 @@
             return@repeatWhileWatching
         }
         val last = page.entries.lastOrNull()?.sequence ?: page.snapshot?.sequence
-        if (last == null) {
+        if (last != null) {
+            // Reads on from where the log stands, which is before `after` if that was lost.
+            val isLogReadAnew = page.snapshot != null
+            lock.withLock {
+                lastSequence = if (isLogReadAnew) last else maxSequence(lastSequence, last)
+            }
+            events.post(ConfigUpdate(page.snapshot, page.entries))
+        }
+        if (last == null || after != null && last <= after) {
             // Avoids a tight loop if the service returns at once instead of holding the request.
             val elapsedMs = (System.nanoTime() - startNanos) / NANOS_PER_MS
             if (elapsedMs < RETRY_DELAY_MS) Thread.sleep(RETRY_DELAY_MS - elapsedMs)
-            return@repeatWhileWatching
         }
-        lock.withLock { lastSequence = maxSequence(lastSequence, last) }
-        events.post(ConfigUpdate(page.snapshot, page.entries))
     }
 
     private fun maxSequence(first: ConfigSequence?, second: ConfigSequence?): ConfigSequence? =
@@ -126,37 +138,53 @@
 
     private fun readVmLists() = repeatWhileWatching {
         val startNanos = System.nanoTime()
-        val entries = listClient.get<EntryVmList>("/vms/entry")
-        val servers = listClient.get<BackendServerList>("/vms/backends/$domain")
+        val entries = listClient.get("/vms/entry")
+            ?.decode<EntryVmList> { era -> copy(revision = era.order(revision)) }
+        val servers = listClient.get("/vms/backends/$domain")
+            ?.decode<BackendServerList> { era -> copy(revision = era.order(revision)) }
         if (entries != null || servers != null) events.post(VmListUpdate(entries, servers))
         val elapsedMs = (System.nanoTime() - startNanos) / NANOS_PER_MS
         if (elapsedMs < VM_LIST_INTERVAL_MS) Thread.sleep(VM_LIST_INTERVAL_MS - elapsedMs)
     }
 
-    private fun readSnapshot(): ConfigLogPage? =
-        configurationClient.get<ConfigSnapshot>("/config/snapshot")?.let {
-            ConfigLogPage(snapshot = it)
-        }
+    private fun readSnapshot(): ConfigLogPage? = configurationClient.get("/config/snapshot")
+        ?.decode<ConfigSnapshot> { era -> copy(sequence = era.order(sequence)) }
+        ?.let { ConfigLogPage(snapshot = it) }
 
-    /** Reads the entries after [after], or a snapshot if the log no longer contains all of them. */
+    /** Reads the entries after [after], or a snapshot if the log does not contain all of them. */
     private fun readEntries(after: ConfigSequence): ConfigLogPage? {
-        val path = "/config/entries?after=$after&waitMs=$LONG_POLL_MS"
-        val page = configurationClient.get<ConfigLogPage>(path)
+        val path = "/config/entries?after=${after.number}&waitMs=$LONG_POLL_MS"
+        val response = configurationClient.get(path, after.era) ?: return null
+        if (response.status == Status.GONE) return readSnapshot()
+        val page = response.decode<ConfigLogPage> { era ->
+            ConfigLogPage(
+                snapshot?.run { copy(sequence = era.order(sequence)) },
+                entries.map { it.copy(sequence = era.order(it.sequence)) },
+            )
+        }
         val first = page?.entries?.firstOrNull()?.sequence ?: return page
         val isGap = page.snapshot == null && first > after.next()
         return if (isGap) readSnapshot() else page
     }
 
-    private inline fun <reified T> HttpHandler.get(path: String): T? {
-        val response = try {
-            this(Request(Method.GET, "http://$platform$path"))
+    private fun ConfigEra.order(sequence: ConfigSequence) = ConfigSequence(order(sequence.value))
+
+    private fun HttpHandler.get(path: String, era: ConfigEra? = null): Response? {
+        val request = Request(Method.GET, "http://$platform$path")
+        return try {
+            this(if (era == null) request else request.header(ERA_HEADER, "$era"))
         } catch (_: ExecutionException) {
             // http4k throws if the service closes the connection; uncaught, that ends this thread.
-            return null
+            null
         }
-        if (!response.status.successful) return null
+    }
+
+    /** Returns the content after [inEra], or null if it can't be used. */
+    private inline fun <reified T> Response.decode(inEra: T.(ConfigEra) -> T): T? {
+        val era = (header(ERA_HEADER) ?: "0").toLongOrNull()?.takeIf { it in 0..ConfigEra.MAX }
+        if (!status.successful || era == null) return null
         return try {
-            daemonJson.decodeFromString<T>(response.bodyString())
+            daemonJson.decodeFromString<T>(bodyString()).inEra(ConfigEra(era))
         } catch (_: SerializationException) {
             null
         }
--- a/decisions/src/main/kotlin/org/pomeloladder/configuration/Ids.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/configuration/Ids.kt
@@ -86,16 +86,28 @@
     override fun toString() = value.toString()
 }
 
-/** A position in the platform's configuration log. Rejected entries have a position, too. */
+/** Bits of a position or revision that hold its number; those above hold its era. */
+private const val NUMBER_BITS = 40
+
+/**
+ * A position in the platform's configuration log. Rejected entries have a position, too. [value]
+ * orders positions by [era] and then by [number], which the service gives out again in a new era.
+ */
 @Serializable
 @JvmInline
 value class ConfigSequence(val value: Long) : Comparable<ConfigSequence> {
+    val era: ConfigEra
+        get() = ConfigEra(value shr NUMBER_BITS)
+
+    val number: Long
+        get() = value and (1L shl NUMBER_BITS) - 1
+
     override fun compareTo(other: ConfigSequence) = value.compareTo(other.value)
 
-    /** Returns the position of the following log entry. */
+    /** Returns the position of the following log entry of the same era. */
     fun next() = ConfigSequence(value + 1)
 
-    override fun toString() = value.toString()
+    override fun toString() = if (era.value == 0L) "$number" else "$era:$number"
 }
 
 /** The period in which the configuration service wrote without coming back from an older copy. */
@@ -105,5 +117,13 @@
     /** Returns the era that begins when the service comes back from an older copy. */
     fun next() = ConfigEra(value + 1)
 
+    /** Returns [number] of this era such that it is above all numbers of earlier eras. */
+    fun order(number: Long): Long = (value shl NUMBER_BITS) or number
+
     override fun toString() = value.toString()
+
+    companion object {
+        /** The highest era that leaves room for a number. */
+        const val MAX = Long.MAX_VALUE shr NUMBER_BITS
+    }
 }
--- a/decisions/src/main/kotlin/org/pomeloladder/configuration/VmList.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/configuration/VmList.kt
@@ -44,7 +44,7 @@
     val state: VmState = VmState.LIVE,
 )
 
-/** All entry VMs as of [revision]. Revisions never decrease. */
+/** All entry VMs as of [revision], which rises with each change and holds the era, if any. */
 @Serializable
 data class EntryVmList(val revision: Long, val vms: List<EntryVmRecord>)
 
