--- a/bench/src/test/kotlin/org/pomeloladder/bench/GatewayRestoredStoreTest.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewayRestoredStoreTest.kt
@@ -7,7 +7,6 @@
 
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.BeforeEach
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.pomeloladder.standins.RouteServerStandIn
 import strikt.api.expectThat
@@ -28,7 +27,6 @@
 
     // Guards against changes that are taken for old ones, because their revisions are not above
     // those of the lost writes.
-    @Tag("known-red")
     @Test
     fun `a version acknowledged after a restore is in force within the bound`() {
         val copy = cluster.change(LOST)
@@ -39,7 +37,6 @@
     }
 
     // Guards against the same while what was lost has not been written again.
-    @Tag("known-red")
     @Test
     fun `a version acknowledged at once after a restore is in force within the bound`() {
         val copy = cluster.change(LOST)
@@ -81,7 +78,6 @@
     }
 
     // Guards against servers and zones that stay as they were at the last revision that was lost.
-    @Tag("known-red")
     @Test
     fun `a drain and the end of an evacuation after a restore are followed`() {
         val copy = cluster.change(LOST)
@@ -99,7 +95,6 @@
 
     // Guards against a restore that goes unnoticed, because the store has passed the revision of the
     // watch by the time that it looks, so that nothing is answered with 410.
-    @Tag("known-red")
     @Test
     fun `a restore is noticed when the store has passed the old revision again`() {
         val copy = cluster.change(LOST)
@@ -117,7 +112,6 @@
     }
 
     // Guards against a restore during the recovery from another, of the same copy.
-    @Tag("known-red")
     @Test
     fun `a second restore before anything is written again loses no later version`() {
         val copy = cluster.change(LOST)
@@ -131,7 +125,6 @@
     }
 
     // Guards against revisions that are compared with those of the era before the last one.
-    @Tag("known-red")
     @Test
     fun `a second restore after the recovery from the first loses no later version`() {
         val firstCopy = cluster.change(LOST)
@@ -149,7 +142,6 @@
 
     // Guards against a process that knows only the new revisions and takes those of its peers for
     // newer ones.
-    @Tag("known-red")
     @Test
     fun `a gateway that starts after a restore follows later changes like the others`() {
         val copy = cluster.change(LOST)
