Let the stand-in of a server crash and start again under its id

Cause: servers of the users' platform crash and start again under their id, cold. No stand-in did, so no test of real processes shows how many requests reach a cold server.

Change: RouteServerStandIn.crash() closes the listener and all connections at once, startAgain(coldMs) begins a new life at the same address, with another `born`, its own `Seq` and `ColdLeftMs` in its entry. A health check is answered at once, tells the remaining cold time and is no arrival any more. Arrivals at a cold server are recorded for each life; those answered 421 are not. The port stays reserved between two lives, so that no other socket gets it.

--- a/standins/src/main/kotlin/org/pomeloladder/standins/RouteServerStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/RouteServerStandIn.kt
@@ -2,7 +2,7 @@
  * A simulated backend server of the users' platform. It records the arrival of each request, counts
  * how often it processes each and the statuses it gave, stamps its responses with its id and streams
  * events. It can be set to reject all requests or a share of them, to fail, or to cut off a response
- * part-way.
+ * part-way. It can crash and start again under its id and address, cold for a while.
  */
 package org.pomeloladder.standins
 
@@ -10,6 +10,7 @@
 import java.io.InputStream
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 import org.http4k.core.Body
 import org.http4k.core.HttpHandler
@@ -20,8 +21,12 @@
 
 private const val REQUEST_ID_HEADER = "X-Pomeloladder-Request-Id"
 private const val EXPECT_INSTANCE_HEADER = "X-Pomeloladder-Expect-Instance"
+private const val COLD_HEADER = "X-Pomeloladder-Cold-Ms"
+private const val KEEP_ALIVE = "timeout=5"
 private const val WRONG_INSTANCE = 421
 
+private const val HEALTH_PATH = "/health"
+
 /** Requests with this path prefix get a stream of [RouteServerStandIn.STREAM_EVENTS] events. */
 private const val STREAM_PATH_PREFIX = "/stream/"
 private const val EVENT_INTERVAL_MS = 15L
@@ -38,7 +43,13 @@
  */
 class RouteServerStandIn(override val instance: String, private val processingMs: Long = 20) :
     RouteServer {
-    private val listener = LoopbackListener(0, handler())
+    private val port = ReservedPort()
+
+    @Volatile
+    private lateinit var life: ServerLife
+
+    /** Null before the first start and between a crash and the next start. */
+    private var listener: LoopbackListener? = null
 
     override val runs = ConcurrentHashMap<String, AtomicInteger>()
     override val arrivals = ConcurrentLinkedQueue<Arrival>()
@@ -55,38 +66,76 @@
     @Volatile
     var limitPerS: Double? = null
 
-    override val address: Address
-        get() = listener.address
+    /** The requests that arrived during the cold time of each life, in the order of the lives. */
+    val coldArrivals = CopyOnWriteArrayList<ColdArrivals>()
 
-    override fun start() = listener.start()
+    override val address = port.address
 
-    override fun close() = listener.close()
+    override fun start() = begin(ServerLife(instance, coldMs = 0))
+
+    /** Closes the listener and all connections; the requests under way are lost. */
+    fun crash() {
+        checkNotNull(listener) { "$instance is not running" }.abort()
+        listener = null
+    }
+
+    /** Starts after a crash, with the same id and address, as a new life that is cold for [coldMs]. */
+    fun startAgain(coldMs: Long) {
+        val life = ServerLife(instance, coldMs)
+        coldArrivals += life.coldArrivals
+        begin(life)
+    }
+
+    private fun begin(life: ServerLife) {
+        check(listener == null) { "$instance is running" }
+        this.life = life
+        listener = LoopbackListener(address.port, handler(life)).apply { start() }
+    }
+
+    override fun close() {
+        listener?.close()
+        port.close()
+    }
 
     override fun gave(id: String, status: Int): Boolean = status in givenStatuses[id].orEmpty()
 
     override fun entry(service: String, zone: String, state: String, endpoint: Address) =
         """{"Service":"$service","Address":"$endpoint","Zone":"$zone","Version":"v1","Slots":6,""" +
-            """"State":"$state","ColdLeftMs":0,"Seq":1,"born":1}"""
+            """"State":"$state","ColdLeftMs":${life.coldLeftMs},""" +
+            """"Seq":${life.nextSequence()},"born":${life.bornUnixMs}}"""
 
-    private fun handler(): HttpHandler = { request ->
-        request.header(REQUEST_ID_HEADER)?.let { arrivals += Arrival(it, monotonicMs()) }
+    private fun handler(life: ServerLife): HttpHandler = { request ->
         val expected = request.header(EXPECT_INSTANCE_HEADER)
+        val isForOther = expected != null && expected != instance
+        val isHealthCheck = request.uri.path == HEALTH_PATH
+        if (!isHealthCheck) recordArrival(request, life.takeIf { !isForOther })
+        val rejection = rejection?.takeIf { it.isDrawn() }
         when {
-            expected != null && expected != instance -> answer(request, Status(WRONG_INSTANCE, ""))
+            isForOther -> answer(request, Status(WRONG_INSTANCE, ""))
             mode == ServerMode.FULL -> reject(request, Status.SERVICE_UNAVAILABLE)
-            else -> {
-                val rejection = rejection?.takeIf { it.isDrawn() }
-                if (rejection ==
-                    null
-                ) {
-                    run(request)
-                } else {
-                    reject(request, Status(rejection.status, ""))
-                }
-            }
+            rejection != null -> reject(request, Status(rejection.status, ""))
+            isHealthCheck -> health(life)
+            else -> run(request)
         }
     }
 
+    /** Records the arrival, also as one at a cold server unless [coldLife] is null or warm. */
+    private fun recordArrival(request: Request, coldLife: ServerLife?) {
+        val arrival = Arrival(request.header(REQUEST_ID_HEADER) ?: return, monotonicMs())
+        arrivals += arrival
+        if (coldLife != null && coldLife.coldLeftMs > 0) coldLife.coldArrivals.arrivals += arrival
+    }
+
+    private fun health(life: ServerLife): Response {
+        val isFailing = mode == ServerMode.FAILING
+        val status = if (isFailing) Status.INTERNAL_SERVER_ERROR else Status.OK
+        val answer = Response(status)
+            .header("X-Pomeloladder-Instance-Id", instance)
+            .header("Keep-Alive", KEEP_ALIVE)
+        val coldLeftMs = life.coldLeftMs
+        return if (coldLeftMs > 0) answer.header(COLD_HEADER, "$coldLeftMs") else answer
+    }
+
     private fun reject(request: Request, status: Status) =
         answer(request, status).header("X-Pomeloladder-Not-Run", "1")
 
@@ -115,7 +164,7 @@
         return Response(status)
             .header(REQUEST_ID_HEADER, id)
             .header("X-Pomeloladder-Server-Stamp", "stamp-$instance")
-            .header("Keep-Alive", "timeout=5")
+            .header("Keep-Alive", KEEP_ALIVE)
             .let { response ->
                 limitPerS?.let { response.header("Server-Limit", it.toString()) } ?: response
             }
--- a/standins/src/main/kotlin/org/pomeloladder/standins/StandInServer.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/StandInServer.kt
@@ -36,7 +36,8 @@
 
 /** Serves [handler] on loopback at [port]; port 0 selects a free one. */
 internal class LoopbackListener(port: Int, handler: HttpHandler) : AutoCloseable {
-    private val server = Server(QueuedThreadPool(MAX_THREADS))
+    private val threads = QueuedThreadPool(MAX_THREADS)
+    private val server = Server(threads)
     private val connector = ServerConnector(server, HttpConnectionFactory(HttpConfiguration()))
     private val httpServer = handler.asServer(
         Jetty(
@@ -57,6 +58,13 @@
         httpServer.start()
     }
 
+    /** Closes the listener and all connections without waiting for the requests under way. */
+    fun abort() {
+        connector.stop()
+        threads.stopTimeout = 0
+        close()
+    }
+
     override fun close() {
         httpServer.stop()
     }
