Let servers start again and the store come back from a copy in the soak

Change: SoakRestarts draws, with a generator of its own, so that older seeds draw the same series: crashes of servers that start again cold, alone, in series and overlapping, their entries late; and restores of the store from a copy some seconds old, once and twice in a row, after which operator and servers write again, each after a time of its own. Services have ColdPerS 4. The soak judges the worst second of each cold life (9 requests; arrivals that a proxy may have held aren't counted) and whether all VMs have the newest configuration in force within the recovery bound; each version has a route of its own for that. The steps of all faults run in FaultSchedule. At the end entries are written again only where they changed, as each write raises the revision and would hide a process that reads no changes since a restore.

--- a/bench/src/test/kotlin/org/pomeloladder/bench/GatewaySoakTest.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewaySoakTest.kt
@@ -2,8 +2,9 @@
  * Randomized soak test: runs real gateway processes under series of overlapping external faults.
  * Using only what callers and backend servers observe, it checks that non-idempotent requests run
  * at most once, refused requests never ran, responses are complete and belong to their request,
- * streams have no gaps, no service gets more retries than allowed, processes do not exit on their
- * own, and service recovers after the faults.
+ * streams have no gaps, no service gets more retries than allowed, no cold server more requests than
+ * it takes, processes do not exit on their own, and service and the newest configuration are back
+ * after the faults.
  *
  * `-Dsoak.seeds=5,9` or `-Dsoak.seeds=10-60` sets the seeds, `-Dsoak.ms=15000` their duration and
  * `-Dsoak.vms=16` the number of VMs.
@@ -38,10 +39,11 @@
             val faults = SoakFaults(cluster, callers, seed)
             faults.run(durationMs)
             faults.endAll()
-            awaitService(cluster, callers)
+            awaitRecovery(cluster, callers)
             callers.stop()
             checkRetries(cluster, callers)
             checkLimits(cluster)
+            checkColdLives(cluster)
             if (cluster.violations.isNotEmpty()) report(seed, cluster, faults)
 
             expectThat(cluster.violations).isEmpty()
@@ -49,15 +51,32 @@
         }
     }
 
-    /** Records a violation for each VM that does not serve again within the recovery bound. */
-    private fun awaitService(cluster: SoakCluster, callers: SoakCallers) {
+    /** Records a violation for each VM that has not recovered within the recovery bound. */
+    private fun awaitRecovery(cluster: SoakCluster, callers: SoakCallers) {
         val untilNanos = System.nanoTime() + RECOVERY_MS * NANOS_PER_MS
         val waiting = cluster.vms.toMutableList()
-        while (waiting.isNotEmpty() && System.nanoTime() < untilNanos) {
+        val outdated = cluster.vms.toMutableList()
+        while ((waiting + outdated).isNotEmpty() && System.nanoTime() < untilNanos) {
             waiting.removeAll { isServing(it, callers) }
+            outdated.removeAll { hasNewestConfig(it, cluster) }
             Thread.sleep(POLL_MS)
         }
         waiting.forEach { cluster.violations += "${it.process.callers} does not serve again" }
+        outdated.forEach {
+            cluster.violations += "${it.process.callers} does not have version ${cluster.version}"
+        }
+    }
+
+    private fun hasNewestConfig(vm: SoakVm, cluster: SoakCluster): Boolean = try {
+        val address = vm.process.callers
+        val route = cluster.probeRoute(cluster.version)
+        SoakConnection(address.host, address.port).use { connection ->
+            connection.call("$route-${System.nanoTime()}", "/$route/x").status == OK
+        }
+    } catch (_: MalformedResponse) {
+        false
+    } catch (_: java.io.IOException) {
+        false
     }
 
     private fun isServing(vm: SoakVm, callers: SoakCallers): Boolean = try {
@@ -87,6 +106,18 @@
         }
     }
 
+    /** Records a violation for each server that got more than it takes while it was cold. */
+    private fun checkColdLives(cluster: SoakCluster) {
+        for (server in cluster.servers) {
+            val worstSeconds = server.worstColdSeconds()
+            println("${server.key} in a second of each cold life: $worstSeconds")
+            if (worstSeconds.any { it > SoakCluster.COLD_ALLOWED }) {
+                cluster.violations += "${server.key} got $worstSeconds requests in a second of a " +
+                    "cold life, allowed ${SoakCluster.COLD_ALLOWED}"
+            }
+        }
+    }
+
     /** Writes the violations, the faults and all logs of a failed run to files. */
     private fun report(seed: Long, cluster: SoakCluster, faults: SoakFaults) {
         val directory = File("target/soak/seed-$seed").apply { mkdirs() }
--- a/bench/src/test/kotlin/org/pomeloladder/bench/SoakCluster.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/SoakCluster.kt
@@ -6,7 +6,9 @@
 
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.random.Random
+import org.pomeloladder.standins.ColdArrivals
 import org.pomeloladder.standins.FaultProxy
 import org.pomeloladder.standins.RouteServer
 import org.pomeloladder.standins.RouteServerStandIn
@@ -23,9 +25,51 @@
     val proxy by lazy { FaultProxy(standIn.address) }
     val key = "servers/${standIn.instance}"
 
-    fun entry(state: String = "ready") = standIn.entry(service, zone, state, proxy.address)
+    /** True while a series of crashes and starts is under way. */
+    val isRestarting = AtomicBoolean()
+
+    @Volatile
+    var isDown = false
+
+    /** What the server says of itself in the store; null while it has no entry. */
+    @Volatile
+    var state: String? = "ready"
+
+    private val heldTimesMs = ConcurrentLinkedQueue<LongRange>()
+
+    fun entry() = state?.let { standIn.entry(service, zone, it, proxy.address) }
+
+    /** Excuses arrivals for [forMs] and a second, since the proxy may hold and release requests. */
+    fun expectHeldRequests(forMs: Long) {
+        val nowMs = RouteServerStandIn.monotonicMs()
+        heldTimesMs += nowMs..nowMs + forMs + RELEASE_MS
+    }
+
+    /** Whether an arrival at [atMs] may have been sent before its second. */
+    fun isHeldUp(atMs: Long) = heldTimesMs.any { atMs in it }
+
+    private companion object {
+        const val RELEASE_MS = 1_000L
+    }
+}
+
+internal fun SoakServer<RouteServerStandIn>.crash() {
+    isDown = true
+    standIn.crash()
+}
+
+internal fun SoakServer<RouteServerStandIn>.startAgain(coldMs: Long) {
+    standIn.startAgain(coldMs)
+    isDown = false
 }
 
+/** The most requests that reached the server in one second of each of its cold lives. */
+internal fun SoakServer<RouteServerStandIn>.worstColdSeconds(): List<Int> =
+    standIn.coldArrivals.map { life ->
+        val timesMs = life.arrivals.map { it.atMs }
+        ColdArrivals.worstSecond(timesMs.filterNot { isHeldUp(it) })
+    }
+
 /** An entry VM and the proxy through which it reads the store. */
 internal class SoakVm(val process: GatewayProcess, val storeProxy: FaultProxy) {
     /** True while the process is down because the soak stopped it. */
@@ -54,7 +98,9 @@
     lateinit var vms: List<SoakVm>
         private set
     private val ports = GatewayPorts()
-    private var version = 0
+    var version = 0
+        private set
+    private var config = ""
 
     /** The times during which servers named a limit. */
     val limitPeriods = ConcurrentLinkedQueue<LimitPeriod>()
@@ -67,7 +113,7 @@
         for (server in allServers) {
             server.standIn.start()
             server.proxy.start()
-            store.put(server.key, server.entry())
+            report(server)
         }
         publishConfig(INITIAL_TIMEOUT_MS)
         vms = List(VM_COUNT) { index ->
@@ -80,25 +126,43 @@
         vms.forEach { it.process.awaitReady() }
     }
 
+    /** Writes the entry of [server] in [state] as the server does, unless it is down. */
+    fun report(server: SoakServer<*>, state: String? = server.state) = synchronized(server) {
+        server.state = state
+        val entry = server.entry()
+        when {
+            entry == null -> store.remove(server.key)
+            !server.isDown -> store.put(server.key, entry)
+        }
+    }
+
+    /** Publishes the newest configuration once more, as it was. */
+    @Synchronized
+    fun publishConfigAgain() = store.put("op/config", config)
+
     /** Publishes the routes with [timeoutMs] as the next configuration version. */
+    @Synchronized
     fun publishConfig(timeoutMs: Int) {
         version++
         val routes = listOf(
             route("pay", "non_idempotent", timeoutMs, "shop", attempts = 1),
             route("look", "idempotent", timeoutMs, "shop", attempts = 2),
             route("stream", "streaming", timeoutMs * 2, "model", attempts = 2, "true"),
+            route(probeRoute(version), "idempotent", timeoutMs, "shop", attempts = 2),
         )
         val services = listOf("shop", "model").joinToString(",") {
-            """{"Name":"$it","HealthPath":"/health","MaxConns":90}"""
+            """{"Name":"$it","HealthPath":"/health","MaxConns":90,"ColdPerS":$COLD_PER_S}"""
         }
-        store.put(
-            "op/config",
+        config =
             """{"Version":$version,"Routes":[${routes.joinToString(",")}],""" +
-                """"Services":[$services],"Limits":{"MaxHeaderBytes":16384,""" +
-                """"MaxBodyBytes":1000000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}""",
-        )
+            """"Services":[$services],"Limits":{"MaxHeaderBytes":16384,""" +
+            """"MaxBodyBytes":1000000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}"""
+        publishConfigAgain()
     }
 
+    /** The route that only the configuration [version] has. */
+    fun probeRoute(version: Int) = "v$version"
+
     private fun route(
         name: String,
         kind: String,
@@ -165,6 +229,10 @@
 
         /** A smaller slack than the platform's, since the soak has fewer requests. */
         val RETRY_BOUNDS = RetryBounds(slack = 20.0)
+
+        /** The platform's rule: what a cold server takes a second, half as much again, and three. */
+        const val COLD_PER_S = 4
+        const val COLD_ALLOWED = 9
         const val INITIAL_TIMEOUT_MS = 3_000
     }
 }
--- a/bench/src/test/kotlin/org/pomeloladder/bench/SoakFaults.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/SoakFaults.kt
@@ -4,8 +4,6 @@
  */
 package org.pomeloladder.bench
 
-import java.util.concurrent.ConcurrentLinkedQueue
-import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 import org.pomeloladder.standins.BOTH_WAYS
@@ -32,11 +30,14 @@
 
     /** Likewise for silences of the store and limits of servers. */
     private val latestKinds = Random(seed xor LATEST_KINDS_SEED_MASK)
-    private val scheduler = Executors.newScheduledThreadPool(FAULT_THREADS)
-    private val startedNanos = System.nanoTime()
+    private val schedule = FaultSchedule()
+
+    /** Likewise for servers that start again under their id and for restores of the store. */
+    private val restarts = SoakRestarts(cluster, schedule, seed)
 
     /** The injected faults with their times, for the report of a failed run. */
-    val history = ConcurrentLinkedQueue<String>()
+    val history: Collection<String>
+        get() = schedule.history
 
     /** Injects one fault after another for [durationMs]. */
     fun run(durationMs: Long) {
@@ -47,20 +48,21 @@
             if (laterKinds.nextInt(LATER_KINDS_INTERVAL) == 0) injectLaterKind()
             if (newestKinds.nextInt(NEWEST_KINDS_INTERVAL) == 0) injectNewestKind()
             if (latestKinds.nextInt(LATEST_KINDS_INTERVAL) == 0) injectLatestKind()
+            restarts.injectRarely()
         }
     }
 
     /** Waits for active faults to end, heals all proxies and restarts stopped processes. */
     fun endAll() {
-        scheduler.shutdown()
-        scheduler.awaitTermination(END_TIMEOUT_S, TimeUnit.SECONDS)
+        schedule.awaitEnd()
         cluster.store.isRefusing = false
         cluster.store.isSilent = false
         cluster.servers.forEach { it.standIn.mode = ServerMode.SOUND }
         cluster.allServers.forEach {
             it.proxy.heal()
             it.standIn.rejection = null
-            cluster.store.put(it.key, it.entry())
+            // Needless writes would hide processes that read no changes since a restore.
+            if (it.state != "ready") cluster.report(it, "ready")
         }
         for (vm in cluster.vms) {
             vm.storeProxy.heal()
@@ -82,7 +84,7 @@
             1 -> stop(vm, "TERM", forMs)
             2 -> pause(vm, forMs)
             3 -> proxyFault("store of $name", vm.storeProxy, forMs)
-            4 -> proxyFault(server.key, server.proxy, forMs)
+            4 -> proxyFault(server.key, server.proxy, forMs, server)
             5 -> changeMood(server, forMs)
             6 -> record("new configuration") {
                 val slackMs = random.nextInt(CONFIG_SPREAD_MS)
@@ -259,7 +261,13 @@
         runAfter(forMs) { vm.process.signal("CONT") }
     }
 
-    private fun proxyFault(what: String, proxy: FaultProxy, forMs: Long) {
+    /** Injects a fault at [proxy], which is the one of [server] unless that is null. */
+    private fun proxyFault(
+        what: String,
+        proxy: FaultProxy,
+        forMs: Long,
+        server: SoakServer<*>? = null,
+    ) {
         val oneWay = setOf(Direction.entries[random.nextInt(Direction.entries.size)])
         val faults = listOf(
             Fault.Refuse,
@@ -269,6 +277,8 @@
             Fault.Cut(oneWay),
         )
         val fault = faults[random.nextInt(faults.size)]
+        val holdsRequests = fault is Fault.Hold && Direction.TO_TARGET in fault.directions
+        if (holdsRequests || fault is Fault.Delay) server?.expectHeldRequests(forMs)
         record("$fault at $what for $forMs ms") { proxy.inject(fault) }
         runAfter(forMs) { proxy.heal() }
     }
@@ -281,26 +291,17 @@
 
     private fun drain(server: SoakServer<RouteServerStandIn>, forMs: Long) {
         record("${server.key} is drained and returns ${forMs + ABSENCE_MS} ms later") {
-            cluster.store.put(server.key, server.entry("draining"))
+            cluster.report(server, "draining")
         }
-        runAfter(ABSENCE_MS) { cluster.store.remove(server.key) }
-        runAfter(ABSENCE_MS + forMs) { cluster.store.put(server.key, server.entry()) }
+        runAfter(ABSENCE_MS) { cluster.report(server, null) }
+        runAfter(ABSENCE_MS + forMs) { cluster.report(server, "ready") }
     }
 
-    /** Records [what] with the current time in [history], then runs [action]. */
-    private fun record(what: String, action: () -> Unit) {
-        val atMs = (System.nanoTime() - startedNanos) / NANOS_PER_MS
-        history += "$atMs ms: $what"
-        action()
-    }
+    private fun record(what: String, action: () -> Unit) = schedule.record(what, action)
 
-    private fun runAfter(delayMs: Long, action: () -> Unit) {
-        scheduler.schedule(action, delayMs, TimeUnit.MILLISECONDS)
-    }
+    private fun runAfter(delayMs: Long, action: () -> Unit) = schedule.runAfter(delayMs, action)
 
     private companion object {
-        const val NANOS_PER_MS = 1_000_000L
-        const val FAULT_THREADS = 8
         const val FAULT_KINDS = 11
         const val LATER_KINDS_SEED_MASK = 0x5eedL
         const val LATER_KINDS_COUNT = 6
@@ -342,6 +343,5 @@
         const val CONFIG_SPREAD_MS = 500
         const val ABSENCE_MS = 1_000L
         const val MIN_RUNNING_VMS = 2
-        const val END_TIMEOUT_S = 60L
     }
 }
