Ask a server without any recent contact for its health when a call goes there

A call to a server that this process has not heard of for half a second and has no call at puts its life in doubt. The call goes there, and the health check that goes with it shows within a round trip whether more may follow.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -292,6 +292,7 @@
         send.expectedFirstEventMs = choice.waitMs
         val details = retryDetails(world, tick, call) +
             serverDetails(choice, call.spec.prompt, call.route.priority, tick.nowMs)
+        doubtWithoutContact(world, tick, backend)
         backend.recentSends.add(send.id, tick.nowMs)
         backend.life.limit.take()
         backend.inFlight++
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
@@ -16,6 +16,9 @@
 /** Minimum time between two checks of a server that comes into doubt again and again. */
 private const val MIN_CHECK_INTERVAL_MS = 50L
 
+/** A server without a call may start again unnoticed within a longer time without contact. */
+private const val CONTACT_VALID_MS = 500L
+
 /** Number of VMs that check a server at [CHECK_INTERVAL_MS]. More of them check it less often. */
 private const val FREQUENT_CHECKERS = 5
 private const val MAX_CHECK_INTERVAL_MS = 1_000L
@@ -109,32 +112,6 @@
         }
     }
 
-    private fun doubt(
-        world: GatewayWorld,
-        tick: GatewayTick,
-        backend: Backend,
-        isRefused: Boolean,
-        cause: String,
-        sinceMs: Long = tick.nowMs,
-    ) {
-        // Without a limit for cold servers there is nothing to protect.
-        val service = world.catalog?.service(backend.record.service) ?: return
-        if (service.coldRequestsPerS <= 0) return
-        val known = backend.doubt
-        if (known == null) {
-            backend.doubt = LifeDoubt(sinceMs, isRefused = false)
-            world.doubtedServers += backend.id
-            val details = mapOf("server" to backend.id, "cause" to cause)
-            tick.journal.log(LogEvent.BACKEND_DOUBTED, details)
-        }
-        if (isRefused && known?.isRefused != true) {
-            backend.doubt = LifeDoubt(tick.nowMs, isRefused = true)
-            backend.refusedMs = tick.nowMs
-            backend.life = ServerLife(tick.nowMs)
-            world.process.evidenceVersion++
-        }
-    }
-
     /** Records that the server was seen to be cold for [coldForMs] more, or warm if that is 0. */
     private fun prove(
         world: GatewayWorld,
@@ -191,6 +168,46 @@
     }
 }
 
+/**
+ * Doubts the life of [backend] before a call is sent to it after a time without any contact: nobody
+ * may have noticed a restart since. The call itself goes there.
+ */
+internal fun doubtWithoutContact(world: GatewayWorld, tick: GatewayTick, backend: Backend) {
+    val contactMs = maxOf(backend.life.lastHeardMs, backend.provenMs)
+    val isUnnoticed = contactMs > 0 && tick.nowMs - contactMs > CONTACT_VALID_MS
+    if (backend.inFlight > 0 || !isUnnoticed) return
+    doubt(world, tick, backend, isRefused = false, "no contact")
+    val doubt = backend.doubt ?: return
+    if (checkHealth(world, tick, backend, MIN_CHECK_INTERVAL_MS)) doubt.isChecked = true
+    tick.wakeAt(backend.checkedMs + MIN_CHECK_INTERVAL_MS)
+}
+
+private fun doubt(
+    world: GatewayWorld,
+    tick: GatewayTick,
+    backend: Backend,
+    isRefused: Boolean,
+    cause: String,
+    sinceMs: Long = tick.nowMs,
+) {
+    // Without a limit for cold servers there is nothing to protect.
+    val service = world.catalog?.service(backend.record.service) ?: return
+    if (service.coldRequestsPerS <= 0) return
+    val known = backend.doubt
+    if (known == null) {
+        backend.doubt = LifeDoubt(sinceMs, isRefused = false)
+        world.doubtedServers += backend.id
+        val details = mapOf("server" to backend.id, "cause" to cause)
+        tick.journal.log(LogEvent.BACKEND_DOUBTED, details)
+    }
+    if (isRefused && known?.isRefused != true) {
+        backend.doubt = LifeDoubt(tick.nowMs, isRefused = true)
+        backend.refusedMs = tick.nowMs
+        backend.life = ServerLife(tick.nowMs)
+        world.process.evidenceVersion++
+    }
+}
+
 /**
  * Sends a health check to [backend], unless one was sent less than [minIntervalMs] ago. Returns
  * whether it did.
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
@@ -172,6 +172,34 @@
         expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
     }
 
+    // Guards against a restart that no process notices, because none has a call at the server.
+    @Test
+    fun `servers that restart while no process calls them get what cold ones take`() {
+        val fleet = startedFleet()
+        fleet.storeDelayMs = STORE_DELAY_MS
+        fleet.run(2_000)
+        fleet.crashEngines(count = 3, downMs = 300)
+        fleet.run(500)
+        fleet.play(5_000)
+
+        expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
+    }
+
+    // Guards against the same while a server that is known to be cold gets no calls.
+    @Test
+    fun `a server that restarts again while it is cold is known to be cold in its next life`() {
+        val fleet = startedFleet()
+        fleet.storeDelayMs = 20_000
+        fleet.crashEngines(count = 1, downMs = 300)
+        fleet.play(2_000)
+        fleet.crashEngines(count = 1, downMs = 300)
+        fleet.play(1_500)
+        fleet.crashEngines(count = 2, downMs = 1_200)
+        fleet.play(6_000)
+
+        expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
+    }
+
     // Guards against a share that is given out once more when a cold state becomes known late.
     @Test
     fun `calls that were sent before a server is known to be cold count against the share`() {
