Keep servers that left between two eras, and earlier lives, out after a restore

The life of a server that is dropped is remembered whenever that happens, and a copied entry with an earlier start than the known one is a lost write too.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/LostWrites.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/LostWrites.kt
@@ -41,13 +41,18 @@
     val size: Int
         get() = entries.size + evacuationsUntilMs.size
 
+    /** Remembers that the life of [server] that began at [startedAtUnixMs] has ended. */
+    fun recordEndedLife(server: BackendServerId, startedAtUnixMs: Long, nowMs: Long) {
+        endedLivesMs[Life(server, startedAtUnixMs)] = nowMs
+    }
+
     /** Remembers the lives that ended between [before] and [after], two views of one era. */
     fun recordEndedLives(before: PublishedView, after: PublishedView, nowMs: Long) {
         endedLivesMs.values.removeIf { nowMs - it > ENDED_LIFE_RETENTION_MS }
         val startedAt = after.backends.associate { it.id to it.startedAtUnixMs }
         for (record in before.backends) {
             if (startedAt[record.id] == record.startedAtUnixMs) continue
-            endedLivesMs[Life(record.id, record.startedAtUnixMs)] = nowMs
+            recordEndedLife(record.id, record.startedAtUnixMs, nowMs)
         }
     }
 
@@ -60,7 +65,10 @@
             val record = knownById[copied.id]
             val isSameLife = record?.startedAtUnixMs == copied.startedAtUnixMs
             val isDrainLost = isSameLife && record?.isDraining == true && !copied.isDraining
-            val isLifeEnded = !isSameLife && Life(copied.id, copied.startedAtUnixMs) in endedLivesMs
+            val isEarlier = record != null && record.startedAtUnixMs > copied.startedAtUnixMs
+            val isLifeEnded = isEarlier ||
+                !isSameLife &&
+                Life(copied.id, copied.startedAtUnixMs) in endedLivesMs
             if (isDrainLost || isLifeEnded) {
                 entries[copied.id] = LostEntry(copied, record, untilMs)
             }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
@@ -225,6 +225,8 @@
             val isGone = sinceMs != null && tick.nowMs - sinceMs >= retentionMs
             if (sinceMs != null && !isGone) nextMs = minOf(nextMs, sinceMs + retentionMs)
             if (isGone) {
+                val startedAtUnixMs = backend.record.startedAtUnixMs
+                lostWrites.recordEndedLife(backend.id, startedAtUnixMs, tick.nowMs)
                 tick.journal.log(LogEvent.BACKEND_GONE, mapOf("server" to backend.id))
                 tick.emit(CloseIdleConnections(backend.id))
             }
