--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -248,13 +248,8 @@
     )
 
     private fun describeServer(world: GatewayWorld, backend: Backend, nowMs: Long): String {
-        val reportAgeMs = if (backend.life.lastReport ==
-            null
-        ) {
-            -1
-        } else {
-            nowMs - backend.life.lastReportMs
-        }
+        val life = backend.life
+        val reportAgeMs = if (life.lastReport == null) -1 else nowMs - life.lastReportMs
         val isUsable = isUsable(world, backend, nowMs)
         return "${backend.id}:${backend.load}/${backend.record.slots},report=${reportAgeMs}ms," +
             "usable=$isUsable"
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
@@ -1,8 +1,8 @@
 /*
  * Finds out whether a backend server has started again under its id. Its entry tells of that late,
  * or not at all while the platform is silent, and a server that is cold must not get the calls of a
- * warm one. A lost or refused connection and a health check without an answer put the life of a
- * server in doubt. It counts as cold then, and gets nothing once it has refused a connection, until
+ * warm one. A lost or refused connection, a health check without an answer and a call after a time
+ * without contact put the life of a server in doubt. It counts as cold then, and gets nothing once it has refused a connection, until
  * a health check shows what it is. The VMs of a region tell each other of refused connections and of
  * what health checks showed, since a VM without a call at a server notices nothing of its restart.
  */
@@ -16,7 +16,7 @@
 /** Minimum time between two checks of a server that comes into doubt again and again. */
 private const val MIN_CHECK_INTERVAL_MS = 50L
 
-/** A server without a call may start again unnoticed within a longer time without contact. */
+/** After a longer time without contact, a server without calls may have started again unnoticed. */
 private const val CONTACT_VALID_MS = 500L
 
 /** Number of VMs that check a server at [CHECK_INTERVAL_MS]. More of them check it less often. */
@@ -38,7 +38,7 @@
  * [sinceMs]. [isRefused] tells whether it, or its host, has refused a connection: nothing listened
  * then, so that the life has ended.
  */
-class LifeDoubt(var sinceMs: Long, var isRefused: Boolean) {
+class LifeDoubt(val sinceMs: Long, val isRefused: Boolean) {
     /** Whether a health check has been sent since the doubt arose or grew. */
     var isChecked = false
 }
@@ -158,11 +158,12 @@
 
     /** Places calls again that waited for the end of a doubt, or for long enough. */
     private fun placeAwaitingCalls(world: GatewayWorld, tick: GatewayTick) {
+        val isPlacedNow = hasDoubtEnded
+        hasDoubtEnded = false
         if (world.callsAwaitingProof.isEmpty()) return
         val due = world.callsAwaitingProof.filter { id ->
-            hasDoubtEnded || tick.nowMs >= (world.calls[id]?.proofUntilMs ?: tick.nowMs)
+            isPlacedNow || tick.nowMs >= (world.calls[id]?.proofUntilMs ?: tick.nowMs)
         }
-        hasDoubtEnded = false
         world.callsAwaitingProof -= due.toSet()
         for (id in due) world.calls[id]?.let { placer.place(world, tick, it) }
     }
