--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PrefixCache.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PrefixCache.kt
@@ -39,11 +39,6 @@
         }
     }
 
-    fun clear() {
-        parts.clear()
-        tokens = 0
-    }
-
     private companion object {
         const val INITIAL_PARTS = 64
         const val LOAD_FACTOR = 0.75f
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLimit.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLimit.kt
@@ -59,13 +59,6 @@
         return hasChanged
     }
 
-    /** Forgets the limit, because another instance of the server has started. */
-    fun clear() {
-        perS = null
-        observedMs = NEVER_MS
-        lastLimitedMs = NEVER_MS
-    }
-
     /**
      * Whether a call may be sent at [nowMs] by a process with [sharePerS] of the limit. A call that
      * [isModest] leaves half of what is saved up to others.
