Show that servers without a history are flooded while they are cold

Callers lost their calls with servers that crashed under the load of a warm one, after VMs had started or entries had come back from a copy.

Fail on this code: 21 and 56 calls in the worst second after entries came back, 10 and 14 after a start of all VMs, 8 by twenty VMs that each sent one call to find out. Allowed are 6. A fourth test, which passes, guards the first calls of processes that start beside warm servers against refusals.

--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
@@ -1,6 +1,7 @@
 package org.pomeloladder.gateway
 
 import kotlin.random.Random
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
@@ -185,6 +186,66 @@
         expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
     }
 
+    // Guards against processes that each send a call to find out, more than the server takes.
+    @Tag("known-red")
+    @Test
+    fun `servers that restart while none of twenty processes calls them are checked first`() {
+        val fleet = startedFleet(vmsPerRegion = MANY_VMS)
+        fleet.storeDelayMs = STORE_DELAY_MS
+        fleet.run(2_000)
+        fleet.crashEngines(count = 3, downMs = 300)
+        fleet.run(500)
+        val refused = fleet.play(200)
+        fleet.play(5_000)
+
+        expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
+        expectThat(refused.map { fleet.refusalAgesMs.getValue(it) }).all {
+            isLessThanOrEqualTo(MAX_CHECK_MS)
+        }
+    }
+
+    // Guards against a server that is taken for warm because nothing is known of it.
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(ints = [3, MANY_VMS])
+    fun `a server whose entry comes back from a copy is not taken for warm`(vms: Int) {
+        val fleet = startedFleet(vms)
+        fleet.storeDelayMs = 20_000
+        fleet.engines.forEach { fleet.expireEntry(it) }
+        fleet.run(MISSING_MS)
+        fleet.crashEngines(count = 3, downMs = 300)
+        fleet.run(400)
+        fleet.restoreFirstEntries()
+        fleet.play(COLD_MS)
+
+        expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
+    }
+
+    // Guards against processes that know nothing but what the store says.
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(ints = [3, MANY_VMS])
+    fun `processes that all start right after a crash take no server for warm`(vms: Int) {
+        val fleet = startedFleet(vms)
+        fleet.storeDelayMs = 20_000
+        fleet.crashEngines(count = 3, downMs = 300)
+        fleet.play(250)
+        REGIONS.forEach { region -> repeat(vms) { fleet.restart(region, it) } }
+        fleet.play(COLD_MS)
+
+        expectThat(fleet.worstSecond()).isLessThanOrEqualTo(COLD_BOUND)
+    }
+
+    // Guards against calls that are refused because a process has just started or met a server.
+    @Test
+    fun `processes that all start beside warm servers serve their first calls`() {
+        val fleet = startedFleet()
+        REGIONS.forEach { region -> repeat(3) { fleet.restart(region, it) } }
+        val refused = fleet.play(2_000)
+
+        expectThat(refused).isEmpty()
+    }
+
     // Guards against the same while a server that is known to be cold gets no calls.
     @Test
     fun `a server that restarts again while it is cold is known to be cold in its next life`() {
@@ -271,6 +332,12 @@
         const val MS_PER_S = 1_000L
         const val MAX_REFUSAL_MS = 100.0
 
+        /** Calls wait this long for a health check, and for the tick after it. */
+        const val MAX_CHECK_MS = 110L
+
+        /** Longer than a server without an entry stays in use. */
+        const val MISSING_MS = 3_000L
+
         /** The platform's rule for the test catalog: 2 a second, half as much again, and three. */
         const val COLD_BOUND = 6
     }
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
@@ -140,6 +140,9 @@
     /** Time after which processes read from the store that an engine has started again. */
     var storeDelayMs = 0L
 
+    /** Engines whose entries are missing from the store. */
+    private val expiredEngines = HashSet<BackendServerId>()
+
     /** Times at which engines crashed, and at which prompts with [deadlyPart] reached engines. */
     val crashesMs = ArrayList<Long>()
     val deadlyArrivalsMs = ArrayList<Long>()
@@ -173,20 +176,35 @@
     }
 
     private fun publishView() {
-        val records = engines.map { engine ->
-            server(engine.id.value, publishedService, engine.region) { record ->
-                record.copy(
-                    slots = 64,
-                    startedAtUnixMs = engine.starts,
-                    coldForMs = engine.coldForMs(nowMs),
-                )
-            }
+        val records = engines.filterNot { it.id in expiredEngines }
+            .map { engineRecord(it, it.starts, it.coldForMs(nowMs)) }
+        publish(PublishedView(++revision, catalog(*publishedRoutes), records, emptySet()))
+    }
+
+    private fun engineRecord(engine: TestEngine, starts: Long, coldForMs: Long) =
+        server(engine.id.value, publishedService, engine.region) {
+            it.copy(slots = 64, startedAtUnixMs = starts, coldForMs = coldForMs)
         }
-        val view = PublishedView(++revision, catalog(*publishedRoutes), records, emptySet())
+
+    private fun publish(view: PublishedView) {
         publishedView = view
         vms.forEach { it.inbox += ViewReceived(view, ViewSource.PLATFORM) }
     }
 
+    /** Lets the entry of [engine] expire. */
+    fun expireEntry(engine: TestEngine) {
+        expiredEngines += engine.id
+        publishView()
+    }
+
+    /** Lets the store come back from a copy that holds all engines as they were at the start. */
+    fun restoreFirstEntries() {
+        expiredEngines.clear()
+        val view = checkNotNull(publishedView)
+        val records = engines.map { engineRecord(it, starts = 1, coldForMs = 0) }
+        publish(view.copy(revision = ++revision, backends = records))
+    }
+
     /** Returns the parts that any process has quarantined. */
     fun quarantinedParts(): Set<PartId> =
         vms.flatMap { it.gateway.world.suspectParts }.filter { it.isQuarantined }
