Ask servers without a history for their health before calls go there

Callers lost their calls with cold servers: VMs that had just started, and those that read an entry which a copy of the store brought back, took servers for warm of which they knew nothing. In regions with more VMs than a cold server takes calls, each VM also sent a call to find out.

Cause: no contact for half a second was a reason for a doubt only after earlier contact, and the call that raised the doubt went there whatever the share of the VM was.

A server that this process never was in contact with is in doubt as well now, and a call waits for the health check unless the VM's share of a cold server allows it. The wait ends with any evidence, a refusal included, after 0.1 s at one server and 0.4 s at several.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -54,12 +54,24 @@
                 // already has events is better served by a late end of the stream.
                 choice.waitMs > remainingMs && !call.isStreamStarted ->
                     fail(world, tick, call, CallRefusal.OVERLOADED, retryAfterMs(choice.waitMs))
-                else -> sendIfPermitted(world, tick, call, choice)
+                mayTry(world, tick, choice.backend) -> sendIfPermitted(world, tick, call, choice)
+                // The server was asked for its health just now.
+                awaitsProof(world, tick, call) -> Unit
+                else -> fail(world, tick, call, CallRefusal.OVERLOADED, MIN_RETRY_AFTER_MS)
             }
             is Placement.Remote -> sendIfPermitted(world, tick, call, choice)
         }
     }
 
+    /**
+     * Whether a call may go to [backend] at once. A server without recent contact may have started
+     * again, so that a call without a share of a cold server waits until its health is known.
+     */
+    private fun mayTry(world: GatewayWorld, tick: GatewayTick, backend: Backend): Boolean {
+        doubtWithoutContact(world, tick, backend)
+        return hasColdCapacity(world, backend, tick.nowMs)
+    }
+
     /**
      * Lets [call] wait when a server for it is in doubt and its health check will show at once
      * whether it may be used. A lost connection of this process puts all its servers in doubt.
@@ -69,17 +81,18 @@
             val backend = world.backends[id]
             backend != null && id !in call.avoidedServers && isFreshDoubt(backend, call, tick.nowMs)
         }
-        val untilMs = call.proofUntilMs ?: (tick.nowMs + MAX_PROOF_WAIT_MS)
-        if (!mayBeProven || tick.nowMs >= untilMs) return false
-        call.proofUntilMs = untilMs
+        val sinceMs = call.proofSinceMs ?: tick.nowMs
+        if (!mayBeProven || tick.nowMs - sinceMs >= MAX_PROOF_WAIT_MS) return false
+        call.proofSinceMs = sinceMs
+        call.proofUntilMs = tick.nowMs + FRESH_DOUBT_MS
         world.callsAwaitingProof += call.id
-        tick.wakeAt(untilMs)
+        tick.wakeAt(call.proofUntilMs)
         return true
     }
 
     private fun isFreshDoubt(backend: Backend, call: Call, nowMs: Long): Boolean {
         val doubt = backend.doubt ?: return false
-        val isFresh = !doubt.isRefused && nowMs - doubt.sinceMs < MAX_PROOF_WAIT_MS
+        val isFresh = !doubt.isRefused && nowMs - doubt.sinceMs < FRESH_DOUBT_MS
         return isFresh && backend.record.service == call.service
     }
 
@@ -173,6 +186,7 @@
         call.avoidedServers -= server.id
         if (choice !is Placement.Candidate) return
         if (isServerAlive && choice.waitMs * SLOW_FACTOR > remainingMs) return
+        if (choice is Placement.Local && !mayTry(world, tick, choice.backend)) return
         val permit = acquirePermit(world, tick, call, call.arrivals + 1) ?: return
         send(world, tick, call, choice, permit, replaced)
     }
@@ -287,7 +301,6 @@
         send.expectedFirstEventMs = choice.waitMs
         val details = retryDetails(world, tick, call) +
             serverDetails(choice, call.spec.prompt, call.route.priority, tick.nowMs)
-        doubtWithoutContact(world, tick, backend)
         backend.recentSends.add(send.id, tick.nowMs)
         backend.life.limit.take()
         backend.inFlight++
@@ -433,6 +446,9 @@
         const val MAX_RETRY_AFTER_MS = 1_500L
 
         /** A health check is answered within a few milliseconds, or soon after a lost packet. */
-        const val MAX_PROOF_WAIT_MS = 100L
+        const val FRESH_DOUBT_MS = 100L
+
+        /** Limits the wait of a call that tries several servers whose checks get no answer. */
+        const val MAX_PROOF_WAIT_MS = 400L
     }
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -138,10 +138,11 @@
     var heldUntilMs: Long? = null
 
     /**
-     * Time until which the call waits for the health check of a server in doubt; null when it never
-     * did.
+     * Time at which the call first waited for the health check of a server in doubt, null when it
+     * never did, and the end of the current wait.
      */
-    var proofUntilMs: Long? = null
+    var proofSinceMs: Long? = null
+    var proofUntilMs = 0L
 
     /** Whether this call tests a quarantined part at a server of this region. */
     var isProbe = false
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
@@ -46,7 +46,7 @@
 
 /** Doubts the lives of servers, checks them, and tells the VMs of the region. */
 class RestartSystem(private val placer: CallPlacer) : GatewaySystem {
-    private var hasDoubtEnded = false
+    private var hasEvidence = false
 
     override fun run(world: GatewayWorld, tick: GatewayTick) {
         for (event in tick.events) {
@@ -83,6 +83,7 @@
             // A full server may keep a check waiting while it answers calls.
             val isHeard = backend.life.lastHeardMs >= check.askedMs
             if (isHeard && !check.isRefused) return
+            hasEvidence = true
             return doubt(world, tick, backend, check.isRefused, "health check")
         }
         // A rejected check names no cold time, so it does not show that the server is warm.
@@ -129,7 +130,7 @@
         backend.life.unreachableUntilMs = 0
         backend.life.coldUntilMs = maxOf(backend.life.coldUntilMs, tick.nowMs + coldForMs)
         backend.endDoubt(tick.nowMs)
-        hasDoubtEnded = true
+        hasEvidence = true
         world.doubtedServers -= backend.id
         if (doubt.isRefused || coldForMs > 0) world.process.evidenceVersion++
         val details = mapOf(
@@ -157,10 +158,10 @@
         }
     }
 
-    /** Places calls again that waited for the end of a doubt, or for long enough. */
+    /** Places calls again that waited for evidence about a server in doubt, or for long enough. */
     private fun placeAwaitingCalls(world: GatewayWorld, tick: GatewayTick) {
-        val isPlacedNow = hasDoubtEnded
-        hasDoubtEnded = false
+        val isPlacedNow = hasEvidence
+        hasEvidence = false
         if (world.callsAwaitingProof.isEmpty()) return
         val due = world.callsAwaitingProof.filter { id ->
             isPlacedNow || tick.nowMs >= (world.calls[id]?.proofUntilMs ?: tick.nowMs)
@@ -171,13 +172,12 @@
 }
 
 /**
- * Doubts the life of [backend] before a call is sent to it after a time without any contact: nobody
- * may have noticed a restart since. The call itself goes there.
+ * Doubts the life of [backend] before a call is sent to it if this process has not been in contact
+ * with it for some time, or never was: nobody may have noticed a restart since.
  */
 internal fun doubtWithoutContact(world: GatewayWorld, tick: GatewayTick, backend: Backend) {
     val contactMs = maxOf(backend.life.lastHeardMs, backend.provenMs)
-    val isUnnoticed = contactMs > 0 && tick.nowMs - contactMs > CONTACT_VALID_MS
-    if (backend.inFlight > 0 || !isUnnoticed) return
+    if (backend.inFlight > 0 || tick.nowMs - contactMs <= CONTACT_VALID_MS) return
     doubt(world, tick, backend, isRefused = false, "no contact")
     val doubt = backend.doubt ?: return
     if (checkHealth(world, tick, backend, MIN_CHECK_INTERVAL_MS)) doubt.isChecked = true
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -291,9 +291,10 @@
         if (tick.nowMs < backend.life.unreachableUntilMs) return
         backend.life.unreachableUntilMs = tick.nowMs + INITIAL_BACK_OFF_MS
         tick.emit(CloseIdleConnections(backend.id))
+        val heardMs = backend.life.lastHeardMs.takeIf { it != NEVER_MS }
         val details = mapOf(
             "server" to backend.id,
-            "silentMs" to tick.nowMs - backend.life.lastHeardMs,
+            "silentMs" to heardMs?.let { tick.nowMs - it },
         )
         tick.journal.log(LogEvent.BACKEND_SILENT, details)
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLife.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLife.kt
@@ -29,7 +29,7 @@
     /** Moving average of the failures that this process observed, from 0 to 1. */
     var failureRate = 0.0
 
-    var lastHeardMs = 0L
+    var lastHeardMs = NEVER_MS
 
     /**
      * Times of the last health check sent because the server was silent, and of the last health
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
@@ -1,7 +1,6 @@
 package org.pomeloladder.gateway
 
 import kotlin.random.Random
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
@@ -187,7 +186,6 @@
     }
 
     // Guards against processes that each send a call to find out, more than the server takes.
-    @Tag("known-red")
     @Test
     fun `servers that restart while none of twenty processes calls them are checked first`() {
         val fleet = startedFleet(vmsPerRegion = MANY_VMS)
@@ -205,7 +203,6 @@
     }
 
     // Guards against a server that is taken for warm because nothing is known of it.
-    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(ints = [3, MANY_VMS])
     fun `a server whose entry comes back from a copy is not taken for warm`(vms: Int) {
@@ -222,7 +219,6 @@
     }
 
     // Guards against processes that know nothing but what the store says.
-    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(ints = [3, MANY_VMS])
     fun `processes that all start right after a crash take no server for warm`(vms: Int) {
