Keep a repeated request off all connections that carried it

Cause: a connection was excluded for a request that it had carried last. A rejected request whose caller sent it again, with another request on that connection in between, was sent there once more. The late second answer to the first send bore its id, was cut within its body and took its end from the head of the own answer. The class: what identifies an answer holds for one send only.

A connection remembers its latest 64 requests now and carries none of them again, so that the id tells the answers on it apart.

SecondAnswerTest, the case with a request in between, fails before: the request goes to the connection that carried it. It passes after.

--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -132,9 +132,8 @@
     /** Whether the connection has carried a request before the current one. */
     private var isKept = false
 
-    /** The latest request, to which the server may send another response later. */
-    var lastRequest: RequestId? = null
-        private set
+    /** The latest requests, to each of which the server may send another response later. */
+    private val recentRequests = LinkedHashSet<RequestId>()
     private var response: HttpResponse? = null
     private var head: ResponseHead? = null
     private var isSkippingForeign = false
@@ -174,11 +173,17 @@
         codec = ctx.pipeline().get(ServerCodec::class.java)
     }
 
+    /** Whether [request] is one of the latest requests that the connection has carried. */
+    fun hasCarried(request: RequestId) = request in recentRequests
+
     /** Writes the request of [active]. The connection must be idle. */
     fun start(active: ActiveSend) {
         check(send == null) { "the connection already carries a request" }
         send = active
-        lastRequest = active.exchange.spec.requestId
+        recentRequests += active.exchange.spec.requestId
+        if (recentRequests.size > MAX_RECENT_REQUESTS) {
+            recentRequests -= recentRequests.first()
+        }
         active.requestNanos = System.nanoTime()
         active.lastProgressNanos = active.requestNanos
         bytesSinceProgress = 0
@@ -541,6 +546,9 @@
     private companion object {
         const val FIRST_FINAL_STATUS = 200
 
+        /** A second response comes before many others have passed on the connection. */
+        const val MAX_RECENT_REQUESTS = 64
+
         /** Limit for bytes without progress, such as foreign responses and skipped events. */
         const val MAX_BYTES_WITHOUT_PROGRESS = 256L * 1024
         const val MAX_EVENT_BYTES = 64 * 1024
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnectionPool.kt
@@ -116,7 +116,7 @@
     }
 
     /**
-     * A connection that carried [request] last is left to other requests: a late repetition of the
+     * A connection that has carried [request] is left to other requests: a late repetition of the
      * response could not be told from the response to this send.
      */
     private fun takeIdle(
@@ -125,7 +125,7 @@
         request: RequestId,
     ): ServerConnection? {
         while (true) {
-            val index = addressPool.idle.indexOfLast { it.lastRequest != request }
+            val index = addressPool.idle.indexOfLast { !it.hasCarried(request) }
             if (index < 0) return null
             val connection = addressPool.idle.removeAt(index)
             val isFresh = idleMs(connection) < maxIdleMs(target, connection)
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/SecondAnswerTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/SecondAnswerTest.kt
@@ -95,6 +95,23 @@
         expectThat(before.readHead()).contains("id: r2")
     }
 
+    // Guards against a cut second answer to the first send that passes for the answer to the second,
+    // when another request used the connection in between (MIXED).
+    @Test
+    fun `a request that is sent again does not use a connection that carried it some time before`() {
+        val before = connectionAfterRejection("r1")
+        send("r2")
+        before.readHead()
+        before.write(
+            "HTTP/1.1 503 Busy\r\nid: r2\r\nnot-run: 1\r\nkeep-alive: timeout=5\r\n" +
+                "content-length: 0\r\n\r\n",
+        )
+        expectThat(traffic.await<SendEnded>().outcome).isEqualTo(FULL)
+
+        send("r1")
+        expectThat(server.accept().readHead()).contains("id: r1")
+    }
+
     private companion object {
         val FULL = SendOutcome.NotRun(NotRunReason.FULL)
     }
