Judge cold lives in all runs of the soak

The soak found cold servers with 20 and 70 requests in one second, 9 allowed (seeds 1 and 2). So the judge is part of the test again and its entry leaves the list of known failures.

An idle connection without an announced time is no sign of a restart, and a head comment is reflowed.

--- a/bench/src/test/kotlin/org/pomeloladder/bench/GatewaySoakTest.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewaySoakTest.kt
@@ -13,7 +13,6 @@
 
 import java.io.File
 import org.junit.jupiter.api.DynamicTest
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
@@ -24,14 +23,6 @@
     fun `guarantees hold through series of overlapping faults`(): List<DynamicTest> =
         seeds().map { seed -> DynamicTest.dynamicTest("seed $seed") { soak(seed) } }
 
-    // Guards against cold servers that get more than they take.
-    @Tag("known-red")
-    @TestFactory
-    fun `cold servers are spared through series of overlapping faults`(): List<DynamicTest> =
-        seeds().map { seed ->
-            DynamicTest.dynamicTest("seed $seed") { soak(seed, judgesColdLives = true) }
-        }
-
     private fun seeds(): List<Long> {
         val text = System.getProperty("soak.seeds") ?: return REGRESSION_SEEDS
         return text.split(',').flatMap { range ->
@@ -40,7 +31,7 @@
         }
     }
 
-    private fun soak(seed: Long, judgesColdLives: Boolean = false) {
+    private fun soak(seed: Long) {
         val durationMs = System.getProperty("soak.ms")?.toLong() ?: CI_DURATION_MS
         SoakCluster(seed).use { cluster ->
             cluster.start()
@@ -52,7 +43,7 @@
             callers.stop()
             checkRetries(cluster, callers)
             checkLimits(cluster)
-            if (judgesColdLives) checkColdLives(cluster)
+            checkColdLives(cluster)
             if (cluster.violations.isNotEmpty()) report(seed, cluster, faults)
 
             expectThat(cluster.violations).isEmpty()
@@ -138,6 +129,7 @@
     private companion object {
         /**
          * Seeds of the short CI run. Every seed that ever failed stays, with a line on its cause.
+         * - 1 and 2: servers whose entries came back from a copy were taken for warm.
          * - 524: the head of a second response, cut off, and the next response became one.
          *
          * 516 failed because the proxies ended reset connections like closed ones; FaultProxyTest
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
@@ -3,9 +3,9 @@
  * or not at all while the platform is silent, and a server that is cold must not get the calls of a
  * warm one. A lost or refused connection, idle ones included, a health check without an answer and a
  * call without recent contact put the life of a server in doubt. It counts as cold then, and gets
- * nothing once it has refused a connection, until a health check shows what it is. The VMs of a region tell each
- * other of refused connections and of what health checks showed, since a VM without a call at a
- * server notices nothing of its restart.
+ * nothing once it has refused a connection, until a health check shows what it is. The VMs of a
+ * region tell each other of refused connections and of what health checks showed, since a VM
+ * without a call at a server notices nothing of its restart.
  */
 package org.pomeloladder.gateway
 
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnectionPool.kt
@@ -189,6 +189,7 @@
         val wasIdle = addressPool.idle.remove(connection)
         return wasIdle &&
             connection.isEndedByServer &&
+            connection.serverKeepAliveMs != null &&
             idleMs(connection) < maxIdleMs(connection.target, connection)
     }
 
--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/IdleConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/IdleConnectionTest.kt
@@ -72,6 +72,14 @@
         expectNothingLost()
     }
 
+    // Guards against the same where the server doesn't say how long it keeps idle connections.
+    @Test
+    fun `an idle connection of a server that announces nothing is not reported`() {
+        idleConnection("").close()
+
+        expectNothingLost()
+    }
+
     // Guards against the same after a response that announces the end of its connection.
     @Test
     fun `a connection that ends after its last response is not reported`() {
