Give a started process no part of a cold server before it knows its region

When all twenty VMs of a region had started again, cold servers still got 18 calls in one second, 6 allowed (ColdRestartTest, start of twenty processes).

Cause: after its first second a process divided by the VMs that it had heard of, once it had met its seeds. It hears of five others with each datagram, and three seconds after the common start some knew themselves only.

For its first five seconds a process assumes ten VMs at least, and doesn't take itself for one of the chosen senders.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RegionShares.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RegionShares.kt
@@ -11,18 +11,28 @@
 /** A process that has just started does not know yet how many others there are. */
 private const val DISCOVERY_MS = 1_000L
 
-/** VMs that a process assumes in its region before it has heard of all its seeds. */
+/** Time in which a process hears of all VMs of its region, also when all start together. */
+private const val REGION_DISCOVERY_MS = 5_000L
+
+/** VMs that a process assumes in its region before it knows them. */
 private const val ASSUMED_VMS = 10
 
 /** Number of VMs of this region that may send to its servers, this one included. */
-internal fun sharingVmCount(world: GatewayWorld): Int = maxOf(
+internal fun sharingVmCount(world: GatewayWorld, nowMs: Long): Int = maxOf(
     world.regionVms().size,
-    if (world.process.hasMetSeeds) 1 else ASSUMED_VMS,
+    if (knowsRegion(world, nowMs)) 1 else ASSUMED_VMS,
 )
 
+/** Whether this process has heard of all VMs of its region. */
+internal fun knowsRegion(world: GatewayWorld, nowMs: Long): Boolean =
+    world.process.hasMetSeeds && ageMs(world, nowMs) >= REGION_DISCOVERY_MS
+
 /** Whether this process is too young to know its peers, and has no part yet. */
 internal fun isDiscovering(world: GatewayWorld, nowMs: Long): Boolean =
-    nowMs - (world.process.startedMs ?: nowMs) < DISCOVERY_MS
+    ageMs(world, nowMs) < DISCOVERY_MS
+
+private fun ageMs(world: GatewayWorld, nowMs: Long): Long =
+    nowMs - (world.process.startedMs ?: nowMs)
 
 /**
  * Whether this process is one of the [count] VMs that may send to [backend] when there are more VMs
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLimit.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLimit.kt
@@ -127,7 +127,7 @@
 private fun limitSharePerS(world: GatewayWorld, backend: Backend, nowMs: Long): Double {
     val perS = maxOf(backend.life.limit.perS ?: 0.0, MIN_LIMIT_PER_S)
     if (isDiscovering(world, nowMs)) return 0.0
-    val count = sharingVmCount(world)
+    val count = sharingVmCount(world, nowMs)
     val senders = minOf(count, (perS + EXTRA_SENDERS).toInt())
     if (senders < count && !isAmongSenders(world, backend, senders)) return 0.0
     return perS / senders
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
@@ -71,9 +71,9 @@
     val rate = world.catalog?.service(backend.record.service)?.coldRequestsPerS ?: return 0
     val bound = (rate * world.bounds.coldOverage + world.bounds.coldSlack - COLD_RESERVE).toInt()
     if (isDiscovering(world, nowMs)) return 0
-    val count = sharingVmCount(world)
+    val count = sharingVmCount(world, nowMs)
     if (count <= bound) return bound / count
     // Which VMs have a part is not known before all have been heard of.
-    if (!world.process.hasMetSeeds) return 0
+    if (!knowsRegion(world, nowMs)) return 0
     return if (isAmongSenders(world, backend, bound)) 1 else 0
 }
