Place calls that waited for a health check after quarantines are decided

Two tests of DeadlyPartTest failed since calls wait for the health check of a server without contact: a call was sent and refused in the same tick, with an unknown outcome for its caller, and a test of a quarantined part was lost with the wait of its call.

The waits end in a system of their own now, which runs after the quarantines of the tick, and a test that waited is still due.

Unit tests that don't ask about doubts start with servers in contact, as they did when a server without a history counted as warm: TestGateway.publish says so, and SendSystemTest hears from its server after a pause of 3 s.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -38,7 +38,9 @@
             return fail(world, tick, call, CallRefusal.OUTCOME_UNKNOWN)
         }
         val quarantined = quarantinedParts(world, call)
-        if (quarantined.isNotEmpty() && !tryProbe(world, tick, call, quarantined)) {
+        // A test that waited for the health check of its server is still due.
+        val isUnsentProbe = call.isProbe && call.arrivals == 0
+        if (quarantined.isNotEmpty() && !isUnsentProbe && !tryProbe(world, tick, call, quarantined)) {
             val retryAfterMs = quarantined.maxOf { quarantine.probeAtMs(it) } - tick.nowMs
             val reason = CallRefusal.QUARANTINED
             return fail(world, tick, call, reason, maxOf(retryAfterMs, MIN_RETRY_AFTER_MS))
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
@@ -9,7 +9,8 @@
  * [RestartSystem] runs before the systems that place calls, so that none goes to a server that the
  * same tick doubts.
  * [QuarantineSystem] runs before [SendSystem], so that a call that was lost with its server is held
- * when the same tick accuses its prompt.
+ * when the same tick accuses its prompt, and before [ProofWaitSystem], so that no call is sent that
+ * the same tick refuses.
  */
 fun gatewaySystems(
     self: PeerIdentity,
@@ -21,9 +22,10 @@
         DelaySystem(),
         SettingsSystem(),
         ViewSystem(),
-        RestartSystem(placer),
+        RestartSystem(),
         ServerSystem(),
         QuarantineSystem(placer, quarantine),
+        ProofWaitSystem(placer),
         PeerSystem(self, placement),
         SendSystem(placer),
         CallSystem(placer),
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
@@ -141,6 +141,9 @@
     /** Incremented with each new evidence about suspect parts that other VMs must hear of. */
     var evidenceVersion = 0L
 
+    /** Whether this tick has brought evidence about the life of a server in doubt. */
+    var hasLifeEvidence = false
+
     /** Time of the first tick, or null before it. */
     var startedMs: Long? = null
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
@@ -45,9 +45,7 @@
 }
 
 /** Doubts the lives of servers, checks them, and tells the VMs of the region. */
-class RestartSystem(private val placer: CallPlacer) : GatewaySystem {
-    private var hasEvidence = false
-
+class RestartSystem : GatewaySystem {
     override fun run(world: GatewayWorld, tick: GatewayTick) {
         for (event in tick.events) {
             when (event) {
@@ -60,7 +58,6 @@
             }
         }
         checkDoubted(world, tick)
-        placeAwaitingCalls(world, tick)
     }
 
     private fun onNotWritten(world: GatewayWorld, tick: GatewayTick, event: SendNotWritten) {
@@ -93,7 +90,7 @@
             // A full server may keep a check waiting while it answers calls.
             val isHeard = backend.life.lastHeardMs >= check.askedMs
             if (isHeard && !check.isRefused) return
-            hasEvidence = true
+            world.process.hasLifeEvidence = true
             return doubt(world, tick, backend, check.isRefused, "health check")
         }
         // A rejected check names no cold time, so it does not show that the server is warm.
@@ -140,7 +137,7 @@
         backend.life.unreachableUntilMs = 0
         backend.life.coldUntilMs = maxOf(backend.life.coldUntilMs, tick.nowMs + coldForMs)
         backend.endDoubt(tick.nowMs)
-        hasEvidence = true
+        world.process.hasLifeEvidence = true
         world.doubtedServers -= backend.id
         if (doubt.isRefused || coldForMs > 0) world.process.evidenceVersion++
         val details = mapOf(
@@ -167,18 +164,6 @@
             tick.wakeAt(backend.checkedMs + minIntervalMs)
         }
     }
-
-    /** Places calls again that waited for evidence about a server in doubt, or for long enough. */
-    private fun placeAwaitingCalls(world: GatewayWorld, tick: GatewayTick) {
-        val isPlacedNow = hasEvidence
-        hasEvidence = false
-        if (world.callsAwaitingProof.isEmpty()) return
-        val due = world.callsAwaitingProof.filter { id ->
-            isPlacedNow || tick.nowMs >= (world.calls[id]?.proofUntilMs ?: tick.nowMs)
-        }
-        world.callsAwaitingProof -= due.toSet()
-        for (id in due) world.calls[id]?.let { placer.place(world, tick, it) }
-    }
 }
 
 /**
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
@@ -243,7 +243,7 @@
     fun `a send to a silent server continues when there is no other server`() {
         val leaving = server("m2", MODEL) { it.copy(isDraining = true) }
         gateway.publish(2, catalog, server("m1", MODEL), leaving)
-        gateway.nowMs += 3_000
+        gateway.tick(ServerActivity(setOf(server("m1").id)), afterMs = 3_000)
         val first = quietStream(1_500)
 
         gateway.tick(SendStalled(first.send, 1_500)).expectNoChangeOfSends()
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestGateway.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestGateway.kt
@@ -128,14 +128,23 @@
         return scheduler.tick(nowMs, events.toList()).commands
     }
 
+    /** Publishes a view. If [isInContact] is set, new servers were heard from at that time. */
     fun publish(
         revision: Long,
         catalog: Catalog,
         vararg servers: BackendRecord,
         evacuated: Set<FailureDomainId> = emptySet(),
         source: ViewSource = ViewSource.PLATFORM,
-    ): List<GatewayCommand> =
-        tick(ViewReceived(PublishedView(revision, catalog, servers.toList(), evacuated), source))
+        isInContact: Boolean = true,
+    ): List<GatewayCommand> {
+        val view = PublishedView(revision, catalog, servers.toList(), evacuated)
+        val commands = tick(ViewReceived(view, source))
+        if (isInContact) {
+            world.backends.filter { it.life.lastHeardMs == NEVER_MS }
+                .forEach { it.life.lastHeardMs = nowMs }
+        }
+        return commands
+    }
 
     /**
      * Runs a tick in which a call on [route] arrives. Returns its id and the commands of the tick.
