--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
@@ -1,11 +1,11 @@
 /*
  * Finds out whether a backend server has started again under its id. Its entry tells of that late,
  * or not at all while the platform is silent, and a server that is cold must not get the calls of a
- * warm one. A lost or refused connection, a health check without an answer and a call after a time
- * without contact put the life of a server in doubt. It counts as cold then, and gets nothing once
- * it has refused a connection, until a health check shows what it is. The VMs of a region tell each
- * other of refused connections and of what health checks showed, since a VM without a call at a
- * server notices nothing of its restart.
+ * warm one. A lost or refused connection, idle ones included, a health check without an answer and a
+ * call without recent contact put the life of a server in doubt. It counts as cold then, and gets
+ * nothing once it has refused a connection, until a health check shows what it is. The VMs of a
+ * region tell each other of refused connections and of what health checks showed, since a VM
+ * without a call at a server notices nothing of its restart.
  */
 package org.pomeloladder.gateway
 
@@ -45,21 +45,19 @@
 }
 
 /** Doubts the lives of servers, checks them, and tells the VMs of the region. */
-class RestartSystem(private val placer: CallPlacer) : GatewaySystem {
-    private var hasDoubtEnded = false
-
+class RestartSystem : GatewaySystem {
     override fun run(world: GatewayWorld, tick: GatewayTick) {
         for (event in tick.events) {
             when (event) {
                 is SendNotWritten -> onNotWritten(world, tick, event)
                 is SendEnded -> onEnded(world, tick, event)
+                is IdleConnectionLost -> onIdleConnectionLost(world, tick, event)
                 is HealthChecked -> onHealthChecked(world, tick, event)
                 is GossipReceived -> event.message.restarts.forEach { merge(world, tick, it) }
                 else -> Unit
             }
         }
         checkDoubted(world, tick)
-        placeAwaitingCalls(world, tick)
     }
 
     private fun onNotWritten(world: GatewayWorld, tick: GatewayTick, event: SendNotWritten) {
@@ -75,6 +73,15 @@
         doubt(world, tick, backend, isRefused = false, reason.name.lowercase())
     }
 
+    private fun onIdleConnectionLost(
+        world: GatewayWorld,
+        tick: GatewayTick,
+        event: IdleConnectionLost,
+    ) {
+        val backend = world.backends[event.server] ?: return
+        doubt(world, tick, backend, isRefused = false, "idle connection")
+    }
+
     private fun onHealthChecked(world: GatewayWorld, tick: GatewayTick, check: HealthChecked) {
         val backend = world.backends[check.server] ?: return
         if (check.askedMs < backend.provenMs) return
@@ -83,6 +90,7 @@
             // A full server may keep a check waiting while it answers calls.
             val isHeard = backend.life.lastHeardMs >= check.askedMs
             if (isHeard && !check.isRefused) return
+            world.process.hasLifeEvidence = true
             return doubt(world, tick, backend, check.isRefused, "health check")
         }
         // A rejected check names no cold time, so it does not show that the server is warm.
@@ -129,7 +137,7 @@
         backend.life.unreachableUntilMs = 0
         backend.life.coldUntilMs = maxOf(backend.life.coldUntilMs, tick.nowMs + coldForMs)
         backend.endDoubt(tick.nowMs)
-        hasDoubtEnded = true
+        world.process.hasLifeEvidence = true
         world.doubtedServers -= backend.id
         if (doubt.isRefused || coldForMs > 0) world.process.evidenceVersion++
         val details = mapOf(
@@ -156,28 +164,15 @@
             tick.wakeAt(backend.checkedMs + minIntervalMs)
         }
     }
-
-    /** Places calls again that waited for the end of a doubt, or for long enough. */
-    private fun placeAwaitingCalls(world: GatewayWorld, tick: GatewayTick) {
-        val isPlacedNow = hasDoubtEnded
-        hasDoubtEnded = false
-        if (world.callsAwaitingProof.isEmpty()) return
-        val due = world.callsAwaitingProof.filter { id ->
-            isPlacedNow || tick.nowMs >= (world.calls[id]?.proofUntilMs ?: tick.nowMs)
-        }
-        world.callsAwaitingProof -= due.toSet()
-        for (id in due) world.calls[id]?.let { placer.place(world, tick, it) }
-    }
 }
 
 /**
- * Doubts the life of [backend] before a call is sent to it after a time without any contact: nobody
- * may have noticed a restart since. The call itself goes there.
+ * Doubts the life of [backend] before a call is sent to it if this process has not been in contact
+ * with it for some time, or never was: nobody may have noticed a restart since.
  */
 internal fun doubtWithoutContact(world: GatewayWorld, tick: GatewayTick, backend: Backend) {
     val contactMs = maxOf(backend.life.lastHeardMs, backend.provenMs)
-    val isUnnoticed = contactMs > 0 && tick.nowMs - contactMs > CONTACT_VALID_MS
-    if (backend.inFlight > 0 || !isUnnoticed) return
+    if (backend.inFlight > 0 || tick.nowMs - contactMs <= CONTACT_VALID_MS) return
     doubt(world, tick, backend, isRefused = false, "no contact")
     val doubt = backend.doubt ?: return
     if (checkHealth(world, tick, backend, MIN_CHECK_INTERVAL_MS)) doubt.isChecked = true
