--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -40,7 +40,10 @@
         val quarantined = quarantinedParts(world, call)
         // A test that waited for the health check of its server is still due.
         val isUnsentProbe = call.isProbe && call.arrivals == 0
-        if (quarantined.isNotEmpty() && !isUnsentProbe && !tryProbe(world, tick, call, quarantined)) {
+        if (quarantined.isNotEmpty() &&
+            !isUnsentProbe &&
+            !tryProbe(world, tick, call, quarantined)
+        ) {
             val retryAfterMs = quarantined.maxOf { quarantine.probeAtMs(it) } - tick.nowMs
             val reason = CallRefusal.QUARANTINED
             return fail(world, tick, call, reason, maxOf(retryAfterMs, MIN_RETRY_AFTER_MS))
