--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/SecondAnswerTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/SecondAnswerTest.kt
@@ -98,7 +98,7 @@
     // Guards against a cut second answer to the first send that passes for the answer to the second,
     // when another request used the connection in between (MIXED).
     @Test
-    fun `a request that is sent again does not use a connection that carried it some time before`() {
+    fun `a request that is sent again avoids a connection that carried it some time before`() {
         val before = connectionAfterRejection("r1")
         send("r2")
         before.readHead()
