Start the traffic of a test again when a port has been taken

TestTraffic chooses free ports, closes them and binds them again, and ignored that the start had failed, so that a port which another process took in between shows as a refused connection. That this happened is read from the code; which process took the port isn't known.

The fixture starts on other ports now and fails when five starts do.

--- a/gateway/src/test/kotlin/org/pomeloladder/traffic/TestTraffic.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/traffic/TestTraffic.kt
@@ -68,8 +68,25 @@
     val events = LinkedBlockingQueue<GatewayEvent>()
     val malformedMessages = LinkedBlockingQueue<String>()
     val stops = LinkedBlockingQueue<Unit>()
-    private val ports = List(4) { freePort() }
-    private val traffic = GatewayTraffic(
+    private lateinit var ports: List<Int>
+    private val traffic = startOnFreePorts(maxHeldBytes)
+    private var nextSend = 0L
+
+    val viewsPort: Int
+        get() = ports[3]
+
+    /** Starts on other ports again when another process has taken one of them meanwhile. */
+    private fun startOnFreePorts(maxHeldBytes: Long): GatewayTraffic {
+        repeat(MAX_STARTS) {
+            ports = List(PORTS) { freePort() }
+            val started = newTraffic(maxHeldBytes)
+            if (started.start(events::add, emptyMap()) == null) return started
+            started.close()
+        }
+        error("no start on free ports")
+    }
+
+    private fun newTraffic(maxHeldBytes: Long) = GatewayTraffic(
         addresses = TrafficAddresses(
             callers = Address(LOOPBACK, ports[0]),
             relay = Address(LOOPBACK, ports[1]),
@@ -82,14 +99,6 @@
         onMalformedMessage = malformedMessages::add,
         maxHeldBytes = maxHeldBytes,
     )
-    private var nextSend = 0L
-
-    val viewsPort: Int
-        get() = ports[3]
-
-    init {
-        traffic.start(events::add, emptyMap())
-    }
 
     fun caller(): Socket = Socket(LOOPBACK, ports[0])
 
@@ -148,6 +157,11 @@
     }
 
     override fun close() = traffic.close()
+
+    private companion object {
+        const val PORTS = 4
+        const val MAX_STARTS = 5
+    }
 }
 
 internal fun freePort(): Int =
