Share the set-up of two tests with processes

GatewayColdRestartTest and GatewayLimitTest each built the same store, servers, gateways and callers. ShopDeployment holds them; the checks and bounds of both tests are as they were. A cold-restart test that fails no longer leaves the store silent for the next one.

--- a/bench/src/test/kotlin/org/pomeloladder/bench/GatewayColdRestartTest.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewayColdRestartTest.kt
@@ -5,18 +5,14 @@
  */
 package org.pomeloladder.bench
 
-import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.AtomicInteger
-import kotlin.concurrent.thread
-import kotlin.random.Random
 import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.BeforeEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
 import org.pomeloladder.standins.RouteServerStandIn
-import org.pomeloladder.standins.StoreStandIn
 import strikt.api.expect
 import strikt.assertions.all
 import strikt.assertions.isEqualTo
@@ -24,18 +20,7 @@
 
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class GatewayColdRestartTest {
-    private val store = StoreStandIn()
-    private val servers = List(SERVERS) { RouteServerStandIn("i-$it", processingMs = 5) }
-    private val ports = GatewayPorts()
-    private val gateways by lazy {
-        List(VMS) { GatewayProcess(it + 2, "north", ports, store.address) }
-    }
-    private val answers = ConcurrentLinkedQueue<SoakAnswer>()
-    private val nextId = AtomicInteger()
-
-    @Volatile
-    private var isRunning = true
-    private lateinit var callers: List<Thread>
+    private val deployment = ShopDeployment(COLD_PER_S)
     private var lastStartNanos = 0L
 
     /** The server that crashes in the current test. */
@@ -44,69 +29,33 @@
 
     @BeforeAll
     fun start() {
-        store.start()
-        servers.forEach { it.start() }
-        store.put(
-            "op/config",
-            """{"Version":1,"Routes":[{"Name":"look","Host":"shop.example","Prefix":"/look/",""" +
-                """"Kind":"idempotent","TimeoutMs":3000,"SloMs":500,"Priority":1,""" +
-                """"Service":"shop","Attempts":2}],"Services":[{"Name":"shop",""" +
-                """"HealthPath":"/health","MaxConns":90,"ColdPerS":$COLD_PER_S}],""" +
-                """"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000000,""" +
-                """"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}""",
-        )
-        servers.forEach { report(it) }
-        gateways.forEach { start(it) }
-        gateways.forEach { it.awaitReady() }
-        callers = List(CALLERS) { index -> thread { call(Random(index)) } }
+        deployment.start()
+        lastStartNanos = System.nanoTime()
     }
 
     @BeforeEach
     fun prepare() {
         val youngestMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastStartNanos)
         Thread.sleep((RETRY_SHARE_MS - youngestMs).coerceAtLeast(0))
-        restarted = servers.minBy { it.coldArrivals.size }
+        restarted = deployment.servers.minBy { it.coldArrivals.size }
         earlierLives = restarted.coldArrivals.size
         awaitCalls()
-        answers.clear()
+        deployment.answers.clear()
     }
 
-    @AfterAll
-    fun stop() {
-        isRunning = false
-        callers.forEach { it.join() }
-        gateways.forEach { it.close() }
-        servers.forEach { it.close() }
-        store.close()
+    @AfterEach
+    fun endSilence() {
+        deployment.store.isSilent = false
     }
 
-    private fun start(gateway: GatewayProcess) {
-        gateway.start()
-        lastStartNanos = System.nanoTime()
-    }
+    @AfterAll
+    fun stop() = deployment.close()
 
     private fun awaitCalls() {
-        val arrivals = restarted.arrivals.size
-        eventually("the server is used") { restarted.arrivals.size > arrivals + CALLERS }
-    }
-
-    private fun call(random: Random) {
-        while (isRunning) {
-            val address = gateways[random.nextInt(gateways.size)].callers
-            useConnection(address) { connection ->
-                val answer = connection.call("look-${nextId.incrementAndGet()}", "/look/x")
-                answers += answer
-                Thread.sleep(random.nextLong(MAX_PAUSE_MS))
-                isRunning && answer.isComplete && answer.headers["connection"] != "close"
-            }
-            Thread.sleep(RECONNECT_MS)
-        }
+        val count = restarted.arrivals.size + ShopDeployment.CALLERS
+        eventually("the server is used") { restarted.arrivals.size > count }
     }
 
-    /** Writes the entry of [server] as it writes it itself. */
-    private fun report(server: RouteServerStandIn) =
-        store.put("servers/${server.instance}", server.entry("shop", "north-a"))
-
     private fun crash(forMs: Long) {
         restarted.crash()
         Thread.sleep(forMs)
@@ -115,7 +64,7 @@
 
     private fun reportLate() {
         Thread.sleep(REPORT_DELAY_MS)
-        report(restarted)
+        deployment.report(restarted)
     }
 
     /**
@@ -126,7 +75,7 @@
         Thread.sleep(COLD_MS)
         val lives = restarted.coldArrivals.drop(earlierLives)
         val worstSeconds = lives.map { it.worstSecond() }
-        val statuses = answers.map { it.status }
+        val statuses = deployment.answers.map { it.status }
         val arrivals = restarted.arrivals.size
 
         println("worst seconds $worstSeconds, statuses ${statuses.groupingBy { it }.eachCount()}")
@@ -166,32 +115,28 @@
     // Guards against processes that learn of a start from the store alone.
     @Test
     fun `a server that crashes twice while the store is silent is spared in both lives`() {
-        store.isSilent = true
+        deployment.store.isSilent = true
         crash(300)
         reportLate()
         crash(1_200)
         reportLate()
         expectSpared()
-        store.isSilent = false
     }
 
     // Guards against a process that starts with the entry of the life before and takes it for true.
     @Test
     fun `a process that starts beside the server spares it too`() {
-        gateways[0].kill()
-        start(gateways[0])
+        val gateway = deployment.gateways.first()
+        gateway.kill()
+        gateway.start()
+        lastStartNanos = System.nanoTime()
         crash(300)
-        gateways[0].awaitReady()
+        gateway.awaitReady()
         reportLate()
         expectSpared()
     }
 
     private companion object {
-        const val VMS = 3
-        const val SERVERS = 3
-        const val CALLERS = 12
-        const val MAX_PAUSE_MS = 100L
-        const val RECONNECT_MS = 20L
         const val COLD_MS = 4_000L
         const val REPORT_DELAY_MS = 1_500L
 
--- a/bench/src/test/kotlin/org/pomeloladder/bench/GatewayLimitTest.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewayLimitTest.kt
@@ -4,15 +4,10 @@
  */
 package org.pomeloladder.bench
 
-import java.util.concurrent.ConcurrentLinkedQueue
-import java.util.concurrent.atomic.AtomicInteger
-import kotlin.concurrent.thread
-import kotlin.random.Random
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.BeforeEach
 import org.junit.jupiter.api.Test
 import org.pomeloladder.standins.RouteServerStandIn
-import org.pomeloladder.standins.StoreStandIn
 import strikt.api.expectThat
 import strikt.assertions.all
 import strikt.assertions.isEqualTo
@@ -21,59 +16,18 @@
 import strikt.assertions.isNotNull
 
 class GatewayLimitTest {
-    private val store = StoreStandIn()
-    private val servers = List(SERVERS) { RouteServerStandIn("i-$it", processingMs = 5) }
-    private val ports = GatewayPorts()
-    private val gateways by lazy {
-        List(VMS) { GatewayProcess(it + 2, "north", ports, store.address) }
-    }
-    private val answers = ConcurrentLinkedQueue<SoakAnswer>()
-    private val nextId = AtomicInteger()
-
-    @Volatile
-    private var isRunning = true
-    private lateinit var callers: List<Thread>
+    private val deployment = ShopDeployment()
+    private val servers = deployment.servers
+    private val answers = deployment.answers
 
     @BeforeEach
     fun start() {
-        store.start()
-        servers.forEach { it.start() }
-        store.put(
-            "op/config",
-            """{"Version":1,"Routes":[{"Name":"look","Host":"shop.example","Prefix":"/look/",""" +
-                """"Kind":"idempotent","TimeoutMs":3000,"SloMs":500,"Priority":1,""" +
-                """"Service":"shop","Attempts":2}],"Services":[{"Name":"shop",""" +
-                """"HealthPath":"/health","MaxConns":90}],"Limits":{"MaxHeaderBytes":16384,""" +
-                """"MaxBodyBytes":1000000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}""",
-        )
-        servers.forEach { store.put("servers/${it.instance}", it.entry("shop", "north-a")) }
-        gateways.forEach { it.start() }
-        gateways.forEach { it.awaitReady() }
-        callers = List(CALLERS) { index -> thread { call(Random(index)) } }
-        eventually("calls are answered") { answers.size > CALLERS }
+        deployment.start()
+        eventually("calls are answered") { answers.size > ShopDeployment.CALLERS }
     }
 
     @AfterEach
-    fun stop() {
-        isRunning = false
-        callers.forEach { it.join() }
-        gateways.forEach { it.close() }
-        servers.forEach { it.close() }
-        store.close()
-    }
-
-    private fun call(random: Random) {
-        while (isRunning) {
-            val address = gateways[random.nextInt(gateways.size)].callers
-            useConnection(address) { connection ->
-                val answer = connection.call("look-${nextId.incrementAndGet()}", "/look/x")
-                answers += answer
-                Thread.sleep(random.nextLong(MAX_PAUSE_MS))
-                isRunning && answer.isComplete && answer.headers["connection"] != "close"
-            }
-            Thread.sleep(RECONNECT_MS)
-        }
-    }
+    fun stop() = deployment.close()
 
     /** The most requests above the bound that one of [limited] got in a window from [fromMs] on. */
     private fun worstExcess(limited: List<RouteServerStandIn>, fromMs: Long): Double =
@@ -99,9 +53,10 @@
         val fromMs = limit(limited)
         answers.clear()
         Thread.sleep(OBSERVED_MS)
-        gateways[0].kill()
-        gateways[0].start()
-        gateways[0].awaitReady()
+        val gateway = deployment.gateways.first()
+        gateway.kill()
+        gateway.start()
+        gateway.awaitReady()
         Thread.sleep(OBSERVED_MS)
 
         expectThat(worstExcess(limited, fromMs)).isLessThanOrEqualTo(0.0)
@@ -129,11 +84,6 @@
     }
 
     private companion object {
-        const val VMS = 3
-        const val SERVERS = 3
-        const val CALLERS = 12
-        const val MAX_PAUSE_MS = 100L
-        const val RECONNECT_MS = 20L
         const val NOTICE_MS = 2_000L
         const val OBSERVED_MS = 7_000L
         const val LIMIT_PER_S = 3.0
