Name the admission of a call to a server after what it does

CallPlacer.mayTry also asked the server for its health; it is tryAdmit now and says so. Behaviour is unchanged.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -59,7 +59,7 @@
                 // already has events is better served by a late end of the stream.
                 choice.waitMs > remainingMs && !call.isStreamStarted ->
                     fail(world, tick, call, CallRefusal.OVERLOADED, retryAfterMs(choice.waitMs))
-                mayTry(world, tick, choice.backend) -> sendIfPermitted(world, tick, call, choice)
+                tryAdmit(world, tick, choice.backend) -> sendIfPermitted(world, tick, call, choice)
                 // The server was asked for its health just now.
                 awaitsProof(world, tick, call) -> Unit
                 else -> fail(world, tick, call, CallRefusal.OVERLOADED, MIN_RETRY_AFTER_MS)
@@ -69,10 +69,10 @@
     }
 
     /**
-     * Whether a call may go to [backend] at once. A server without recent contact may have started
-     * again, so that a call without a share of a cold server waits until its health is known.
+     * Asks [backend] for its health if there was no recent contact, since it may have started again
+     * unnoticed. Returns whether a call may go there before the answer.
      */
-    private fun mayTry(world: GatewayWorld, tick: GatewayTick, backend: Backend): Boolean {
+    private fun tryAdmit(world: GatewayWorld, tick: GatewayTick, backend: Backend): Boolean {
         doubtWithoutContact(world, tick, backend)
         return hasColdCapacity(world, backend, tick.nowMs)
     }
@@ -191,7 +191,7 @@
         call.avoidedServers -= server.id
         if (choice !is Placement.Candidate) return
         if (isServerAlive && choice.waitMs * SLOW_FACTOR > remainingMs) return
-        if (choice is Placement.Local && !mayTry(world, tick, choice.backend)) return
+        if (choice is Placement.Local && !tryAdmit(world, tick, choice.backend)) return
         val permit = acquirePermit(world, tick, call, call.arrivals + 1) ?: return
         send(world, tick, call, choice, permit, replaced)
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RegionLinks.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RegionLinks.kt
@@ -53,8 +53,6 @@
     /** Other VMs of this region that were listed within the last hour. */
     val regionVms: Set<VmId>
         get() = regionVmsListedMs.keys
-    val regionVmCount: Int
-        get() = regionVms.size
 
     /** VMs of other regions that are selected as links. */
     var linkedVms: Set<VmId> = emptySet()
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
@@ -157,11 +157,9 @@
         world.doubtedServers.removeIf { world.backends[it]?.doubt == null }
         for (id in world.doubtedServers) {
             val backend = world.backends[id] ?: continue
-            val doubt = backend.doubt ?: continue
             // A check before the doubt says nothing of it.
-            val minIntervalMs = if (doubt.isChecked) intervalMs else MIN_CHECK_INTERVAL_MS
-            if (checkHealth(world, tick, backend, minIntervalMs)) doubt.isChecked = true
-            tick.wakeAt(backend.checkedMs + minIntervalMs)
+            val isChecked = backend.doubt?.isChecked == true
+            checkDoubt(world, tick, backend, if (isChecked) intervalMs else MIN_CHECK_INTERVAL_MS)
         }
     }
 }
@@ -174,9 +172,19 @@
     val contactMs = maxOf(backend.life.lastHeardMs, backend.provenMs)
     if (backend.inFlight > 0 || tick.nowMs - contactMs <= CONTACT_VALID_MS) return
     doubt(world, tick, backend, isRefused = false, "no contact")
+    checkDoubt(world, tick, backend, MIN_CHECK_INTERVAL_MS)
+}
+
+/** Checks [backend] if it is in doubt, [minIntervalMs] after its last check at the earliest. */
+private fun checkDoubt(
+    world: GatewayWorld,
+    tick: GatewayTick,
+    backend: Backend,
+    minIntervalMs: Long,
+) {
     val doubt = backend.doubt ?: return
-    if (checkHealth(world, tick, backend, MIN_CHECK_INTERVAL_MS)) doubt.isChecked = true
-    tick.wakeAt(backend.checkedMs + MIN_CHECK_INTERVAL_MS)
+    if (checkHealth(world, tick, backend, minIntervalMs)) doubt.isChecked = true
+    tick.wakeAt(backend.checkedMs + minIntervalMs)
 }
 
 private fun doubt(
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/ColdRestartTest.kt
@@ -258,7 +258,8 @@
         expectThat(refused).isEmpty()
     }
 
-    // Guards against the same while a server that is known to be cold gets no calls.
+    // Guards against a restart that goes unnoticed while a server that is known to be cold gets no
+    // calls.
     @Test
     fun `a server that restarts again while it is cold is known to be cold in its next life`() {
         val fleet = startedFleet()
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/RegionLinksTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/RegionLinksTest.kt
@@ -61,9 +61,9 @@
         addAddresses(2)
 
         links.selectLinks(3_600_000) { false }
-        expectThat(links.regionVmCount).isEqualTo(1)
+        expectThat(links.regionVms.size).isEqualTo(1)
 
         links.selectLinks(3_600_001) { false }
-        expectThat(links.regionVmCount).isEqualTo(0)
+        expectThat(links.regionVms.size).isEqualTo(0)
     }
 }
