Heed servers that say in their answers that they leave

A backend server that leaves says so in all its answers (Server-Leaving: 1). Nothing read that header, so VMs went on sending there for as long as the store called the server ready: while the store was silent, after it had come back from a copy, or because the entry came late.

LeavingSystem records the word from the head of any answer, whole or not, and from health answers, for the life of the server. Usability counts such a server as draining from then on, so that placement, part owners, summaries for other regions and crash evidence follow. VMs of a region tell each other, with the start in the entry, and a word from before the life that the receiver knows changes nothing. A late entry with another start may be that of the life which leaves: the server gets nothing then until a health check has told. Headers that can't be read are logged once a life.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
@@ -66,6 +66,15 @@
     val limitPerS: Double? = null,
 ) : GatewayEvent
 
+/**
+ * An answer of [server] says that the server leaves, whatever becomes of the send that it belongs
+ * to. Its request was written [requestAgeMs] before.
+ */
+data class LeavingAnnounced(val server: BackendServerId, val requestAgeMs: Long) : GatewayEvent
+
+/** An answer of [server] has a [header] that can't be read, and that was ignored. */
+data class HeaderUnreadable(val server: BackendServerId, val header: String) : GatewayEvent
+
 /** [server] ended an idle connection earlier than it had announced. */
 data class IdleConnectionLost(val server: BackendServerId) : GatewayEvent
 
@@ -146,7 +155,8 @@
 /**
  * A health check completed. [coldForMs] is null when the server did not answer in time. [isRefused]
  * is set when it refused the connection, so that nothing listens at its address. [askedMs] is the
- * time of the check on the clock of the control thread.
+ * time of the check on the clock of the control thread. [isLeaving] is set when the server said
+ * that it leaves.
  */
 data class HealthChecked(
     val server: BackendServerId,
@@ -155,6 +165,7 @@
     val load: LoadReport?,
     val isRefused: Boolean = false,
     val askedMs: Long = 0,
+    val isLeaving: Boolean = false,
 ) : GatewayEvent
 
 /**
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
@@ -6,8 +6,8 @@
 /**
  * Returns all systems. [ViewSystem] runs before [CallSystem], so that no call is routed by a view
  * that the same tick replaces.
- * [RestartSystem] runs before the systems that place calls, so that none goes to a server that the
- * same tick doubts.
+ * [RestartSystem] and [LeavingSystem] run before the systems that place calls, so that none goes to
+ * a server that the same tick doubts or knows to leave.
  * [QuarantineSystem] runs before [SendSystem], so that a call that was lost with its server is held
  * when the same tick accuses its prompt, and before [ProofWaitSystem], so that no call is sent that
  * the same tick refuses.
@@ -23,6 +23,7 @@
         SettingsSystem(),
         ViewSystem(),
         RestartSystem(),
+        LeavingSystem(),
         ServerSystem(),
         QuarantineSystem(placer, quarantine),
         ProofWaitSystem(placer),
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
@@ -89,6 +89,17 @@
     @SerialName("d") val coldForMs: Long = 0,
 )
 
+/**
+ * [server] has said, [ageMs] before the datagram was sent, that it leaves. [startedAtUnixMs] is the
+ * start in the entry that the sender knows.
+ */
+@Serializable
+data class LeavingReport(
+    @SerialName("a") val server: BackendServerId,
+    @SerialName("b") val startedAtUnixMs: Long,
+    @SerialName("c") val ageMs: Long,
+)
+
 /** A confirmed crash, [ageMs] before the datagram was sent. */
 @Serializable
 data class CrashReport(@SerialName("a") val crash: CrashId, @SerialName("b") val ageMs: Long)
@@ -141,6 +152,7 @@
     /** The eras of [revision] and of the configuration in force. */
     @SerialName("p") val era: PlatformEra = PlatformEra.UNKNOWN,
     @SerialName("q") val catalogEra: PlatformEra = PlatformEra.UNKNOWN,
+    @SerialName("r") val leaving: List<LeavingReport> = emptyList(),
 )
 
 /** A VM that the sender considers live, listed for peers that do not know it yet. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
@@ -347,6 +347,7 @@
             evidence = evidenceReports(world, tick.nowMs),
             limits = if (isLocal) limitReports(world, tick.nowMs) else emptyList(),
             restarts = if (isLocal) restartReports(world, tick) else emptyList(),
+            leaving = if (isLocal) leavingReports(world, tick) else emptyList(),
         )
     }
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/QuarantineSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/QuarantineSystem.kt
@@ -105,9 +105,9 @@
         val call = world.calls[send.call] ?: return
         val place = send.place as? SendPlace.AtServer ?: return
         val backend = world.backends[place.server] ?: return
-        val isLeaving = backend.record.isDraining || backend.missingSinceMs != null
+        val isEnding = isLeaving(backend) || backend.missingSinceMs != null
         val parts = call.spec.prompt?.sharedParts.orEmpty()
-        if (parts.isEmpty() || isLeaving) return
+        if (parts.isEmpty() || isEnding) return
         val id = crashOf(backend)
         val isConfirmed = world.suspectParts.any { it.crashes[id]?.isConfirmed == true }
         for (part in parts) {
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLife.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLife.kt
@@ -46,6 +46,18 @@
      */
     var drainingSinceMs: Long? = null
 
+    /** Time from which this process or a peer knows from the server itself that it leaves. */
+    var leavingSinceMs: Long? = null
+
+    /**
+     * Likewise for the life before, if the store told of this one afterwards: it may have told late
+     * of the life that leaves. The server gets nothing until a health check shows which it was.
+     */
+    var maybeLeavingSinceMs: Long? = null
+
+    /** Whether an unreadable header was logged. */
+    var hasUnreadableHeader = false
+
     /** Whether another instance now runs at the server's address. */
     var isReplaced = false
     var coldUntilMs = 0L
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
@@ -20,12 +20,20 @@
  * and not evacuated.
  */
 internal fun isUsable(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean =
-    !backend.record.isDraining && isReachable(world, backend, nowMs)
+    !isLeaving(backend) && isReachable(world, backend, nowMs)
 
-/** Whether [backend] drains but still serves calls that have no other place. */
+/** Whether [backend] drains by the word of the store, or has said itself that it leaves. */
+internal fun isLeaving(backend: Backend): Boolean =
+    backend.record.isDraining || backend.life.leavingSinceMs != null
+
+/** Whether [backend] drains or leaves but still serves calls that have no other place. */
 internal fun isDrainingButUsable(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean {
-    val sinceMs = backend.life.drainingSinceMs ?: return false
-    return backend.record.isDraining &&
+    val life = backend.life
+    val isDrainSeen = !backend.record.isDraining || life.drainingSinceMs != null
+    val sinceMs = listOfNotNull(life.drainingSinceMs, life.leavingSinceMs).minOrNull()
+    return isLeaving(backend) &&
+        isDrainSeen &&
+        sinceMs != null &&
         backend.record.endsInMs == null &&
         nowMs - sinceMs < world.bounds.drainMs - DRAIN_MARGIN_MS &&
         isReachable(world, backend, nowMs)
@@ -44,7 +52,7 @@
  * same view agree on this.
  */
 internal fun isStable(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean =
-    !backend.record.isDraining &&
+    !isLeaving(backend) &&
         backend.missingSinceMs == null &&
         nowMs >= backend.life.coldUntilMs &&
         backend.record.domain !in world.process.view?.evacuated.orEmpty()
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ViewSystem.kt
@@ -207,13 +207,16 @@
     }
 
     /**
-     * Drops what is known of the earlier life, except how long the server may be cold. A doubt stays,
-     * since it may have arisen after the entry was written; a check is due at once.
+     * Drops what is known of the earlier life except how long the server may be cold. A doubt stays,
+     * since it may have arisen after the entry was written; a check is due at once. An entry that
+     * comes late may be that of a life that has said since that it leaves.
      */
     private fun startLife(backend: Backend, tick: GatewayTick) {
-        val coldUntilMs = backend.life.coldUntilMs
+        val before = backend.life
         backend.life = ServerLife(tick.nowMs)
-        backend.life.coldUntilMs = coldUntilMs
+        backend.life.coldUntilMs = before.coldUntilMs
+        backend.life.maybeLeavingSinceMs = before.leavingSinceMs ?: before.maybeLeavingSinceMs
+        if (backend.life.maybeLeavingSinceMs != null) backend.isHealthCheckPending = true
         backend.doubt?.isChecked = false
     }
 
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -47,8 +47,10 @@
 import org.pomeloladder.gateway.GatewayCommand
 import org.pomeloladder.gateway.GatewayEvent
 import org.pomeloladder.gateway.GossipReceived
+import org.pomeloladder.gateway.HeaderUnreadable
 import org.pomeloladder.gateway.HealthChecked
 import org.pomeloladder.gateway.IdleConnectionLost
+import org.pomeloladder.gateway.LeavingAnnounced
 import org.pomeloladder.gateway.NotWrittenReason
 import org.pomeloladder.gateway.PublishEntryView
 import org.pomeloladder.gateway.PublishedView
@@ -414,6 +416,15 @@
     override fun readHead(httpResponse: HttpResponse): ResponseHead =
         this.wire.readResponseHead(httpResponse.status().code(), httpResponse.headers())
 
+    override fun onHead(send: ActiveSend, target: SendTarget, head: ResponseHead) {
+        // A peer passes on the head of a server of its own region, which this process never calls.
+        if (target !is SendTarget.Server || head.isWrongInstance) return
+        head.unreadableHeader?.let { events.post(HeaderUnreadable(target.id, it)) }
+        if (!head.isLeaving) return
+        val requestAgeMs = (System.nanoTime() - send.requestNanos) / NANOS_PER_MS
+        events.post(LeavingAnnounced(target.id, requestAgeMs))
+    }
+
     override fun onProgress(target: SendTarget) {
         if (target is SendTarget.Server) activeServers += target.id
     }
@@ -487,6 +498,7 @@
                 load = health?.load,
                 isRefused = result is FetchResult.Failed && result.isRefused,
                 askedMs = command.askedMs,
+                isLeaving = health?.isLeaving == true,
             )
             events.post(event)
         }
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -94,6 +94,9 @@
 internal interface ServerConnectionListener {
     fun readHead(httpResponse: HttpResponse): ResponseHead
 
+    /** The final [head] of the answer to [send] arrived from [target]. */
+    fun onHead(send: ActiveSend, target: SendTarget, head: ResponseHead)
+
     /** The response to the current request made progress. */
     fun onProgress(target: SendTarget)
 
@@ -305,6 +308,7 @@
         if (isForeign) {
             isReusable = false
         } else {
+            listener.onHead(active, target, responseHead)
             earlyOutcome = outcomeFromHead(active, responseHead, message.headers())
             recordProgress(active)
             active.headMs = (active.lastProgressNanos - active.requestNanos) / NANOS_PER_MS
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/WireFormat.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/WireFormat.kt
@@ -25,6 +25,10 @@
     val load: LoadReport?,
     /** Requests a second that the server takes from all processes, if it names a limit. */
     val limitPerS: Double? = null,
+    /** Whether the server says that it leaves. */
+    val isLeaving: Boolean = false,
+    /** A header that can't be read, with its value, if there is one. */
+    val unreadableHeader: String? = null,
 ) {
     val isSuccess: Boolean
         get() = status in SUCCESS_STATUSES
@@ -39,8 +43,16 @@
     }
 }
 
-/** Decoded response to a health check. [coldForMs] is 0 for a server at full speed. */
-data class HealthReport(val isHealthy: Boolean, val coldForMs: Long, val load: LoadReport?)
+/**
+ * Decoded response to a health check. [coldForMs] is 0 for a server at full speed. [isLeaving]
+ * tells whether the server says that it leaves.
+ */
+data class HealthReport(
+    val isHealthy: Boolean,
+    val coldForMs: Long,
+    val load: LoadReport?,
+    val isLeaving: Boolean = false,
+)
 
 /** Values of the headers that this process sets on a request to a backend server. */
 data class ServerRequestHead(
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
@@ -38,6 +38,9 @@
     var firstEventAtMs: Long? = null
 }
 
+/** Arrival of a call that began [lateMs] after [vm], which sent it, knew that the engine leaves. */
+internal class ArrivalAfterLeaving(val vm: VmId, val lateMs: Long)
+
 /** A model engine that processes one prompt at a time and caches every part. */
 internal class TestEngine(val id: BackendServerId, val region: RegionId) {
     private val cachedParts = HashSet<PartId>()
@@ -54,6 +57,14 @@
     var limitPerS: Double? = null
     val arrivalTimesMs = ArrayList<Long>()
 
+    /**
+     * Whether the engine says in its answers that it leaves, the time at which it first told each
+     * process in an answer to a call, and the calls that reached it after that.
+     */
+    var isLeaving = false
+    val leavingToldMs = HashMap<VmId, Long>()
+    val arrivalsAfterLeaving = ArrayList<ArrivalAfterLeaving>()
+
     /** How long the engine is cold after a restart, and the arrivals while it was. */
     var coldMs = 0L
     val coldArrivalTimesMs = ArrayList<Long>()
@@ -68,6 +79,8 @@
         busyUntilMs = upAtMs.toDouble()
         cachedParts.clear()
         runs.clear()
+        isLeaving = false
+        leavingToldMs.clear()
     }
 
     /**
@@ -239,7 +252,10 @@
         vm.gateway.world.seeds = seeds
         vm.inbox.clear()
         vm.relays.clear()
-        engines.forEach { engine -> engine.runs.keys.removeIf { it.vm == vm.identity.vm } }
+        engines.forEach { engine ->
+            engine.runs.keys.removeIf { it.vm == vm.identity.vm }
+            engine.leavingToldMs.remove(vm.identity.vm)
+        }
         vm.inbox += ViewReceived(checkNotNull(publishedView), ViewSource.PLATFORM)
     }
 
@@ -331,7 +347,15 @@
         val engine = byEngine.getValue(command.server)
         val isUp = engine.isUp(nowMs)
         val coldForMs = if (isUp) engine.coldForMs(nowMs) else null
-        val checked = HealthChecked(command.server, isUp, coldForMs, null, !isUp, command.askedMs)
+        val checked = HealthChecked(
+            server = command.server,
+            isHealthy = isUp,
+            coldForMs = coldForMs,
+            load = null,
+            isRefused = !isUp,
+            askedMs = command.askedMs,
+            isLeaving = isUp && engine.isLeaving,
+        )
         schedule(nowMs + LOCAL_DELAY_MS) { vm.inbox += checked }
     }
 
@@ -365,12 +389,26 @@
         arrivalTimesMs.getOrPut(spec.requestId) { ArrayList() } += nowMs
         engine.arrivalTimesMs += nowMs
         if (engine.coldForMs(nowMs) > 0) engine.coldArrivalTimesMs += nowMs
+        engine.leavingToldMs[vm.identity.vm]?.let { toldMs ->
+            val lateMs = arrivedMs.getValue(spec.requestId) - toldMs
+            engine.arrivalsAfterLeaving += ArrivalAfterLeaving(vm.identity.vm, lateMs)
+        }
         if (rejections.nextDouble() >= rejectedShare) {
             return run(vm, start, engine, checkNotNull(spec.prompt))
         }
         val notRun = SendOutcome.NotRun(NotRunReason.FULL)
         val ended = SendEnded(start.send, notRun, null, limitPerS = engine.limitPerS)
-        schedule(nowMs + LOCAL_DELAY_MS) { vm.inbox += ended }
+        schedule(nowMs + LOCAL_DELAY_MS) {
+            tellLeaving(vm, engine, startedMs = nowMs - LOCAL_DELAY_MS)
+            vm.inbox += ended
+        }
+    }
+
+    /** Lets an answer of [engine] to a call from [startedMs] on say that it leaves, if it does. */
+    private fun tellLeaving(vm: Vm, engine: TestEngine, startedMs: Long) {
+        if (!engine.isLeaving) return
+        engine.leavingToldMs.putIfAbsent(vm.identity.vm, nowMs)
+        vm.inbox += LeavingAnnounced(engine.id, nowMs - startedMs)
     }
 
     private fun run(vm: Vm, start: StartSend, engine: TestEngine, prompt: Prompt) {
@@ -388,6 +426,7 @@
                 schedule(nowMs + CRASH_DELAY_MS) { if (engine.runs[key] === run) crash(engine) }
                 return@schedule
             }
+            tellLeaving(vm, engine, run.startedMs)
             sendFirstEvent(vm, start, run, engine.limitPerS)
             schedule(nowMs + answerMs) {
                 if (engine.runs.remove(key, run)) {
--- a/standins/src/main/kotlin/org/pomeloladder/standins/RouteServerStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/RouteServerStandIn.kt
@@ -66,6 +66,10 @@
     @Volatile
     var limitPerS: Double? = null
 
+    /** Whether the server says in all its answers that it leaves. A start ends that. */
+    @Volatile
+    var isLeaving = false
+
     /** The requests that arrived during the cold time of each life, in the order of the lives. */
     val coldArrivals = CopyOnWriteArrayList<ColdArrivals>()
 
@@ -88,6 +92,7 @@
 
     private fun begin(life: ServerLife) {
         check(listener == null) { "$instance is running" }
+        isLeaving = false
         this.life = life
         listener = LoopbackListener(address.port, handler(life)).apply { start() }
     }
@@ -133,7 +138,9 @@
             .header("X-Pomeloladder-Instance-Id", instance)
             .header("Keep-Alive", KEEP_ALIVE)
         val coldLeftMs = life.coldLeftMs
-        return if (coldLeftMs > 0) answer.header(COLD_HEADER, "$coldLeftMs") else answer
+        val coldAnswer =
+            if (coldLeftMs > 0) answer.header(COLD_HEADER, "$coldLeftMs") else answer
+        return markLeaving(coldAnswer)
     }
 
     private fun reject(request: Request, status: Status) =
@@ -168,8 +175,12 @@
             .let { response ->
                 limitPerS?.let { response.header("Server-Limit", it.toString()) } ?: response
             }
+            .let(::markLeaving)
     }
 
+    private fun markLeaving(answer: Response): Response =
+        if (isLeaving) answer.header("Server-Leaving", "1") else answer
+
     /**
      * Streams the events of the request [id] from number [nextNumber] on; a read returns bytes of
      * one event at most.
