Log the expected length and pace of an answer when a call is sent

Callers of the longest chats wait until their limit and get a part of an answer. Line 410 told when the first event was expected, but neither how long the answer would be nor what the VM knew of the pace at the server, so that reading beside answers, placement and other rules could not be told apart.

No decision changes.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -305,7 +305,7 @@
         val send = newSend(world, tick, call, SendPlace.AtServer(backend.id), permit)
         send.expectedFirstEventMs = choice.waitMs
         val details = retryDetails(world, tick, call) +
-            serverDetails(choice, call.spec.prompt, call.route.priority, tick.nowMs)
+            serverDetails(choice, call, tick.nowMs) + answerDetails(world, call, backend, tick.nowMs)
         backend.recentSends.add(send.id, tick.nowMs)
         backend.life.limit.take()
         backend.inFlight++
@@ -324,11 +324,12 @@
     /** Log fields for what this process knows of the chosen server when it sends [prompt] there. */
     private fun serverDetails(
         choice: Placement.Local,
-        prompt: Prompt?,
-        priority: Int,
+        call: Call,
         nowMs: Long,
     ): Map<String, Any?> {
         val backend = choice.backend
+        val prompt = call.spec.prompt
+        val priority = call.route.priority
         return mapOf(
             "load" to backend.load,
             "coldForMs" to (backend.life.coldUntilMs - nowMs).coerceAtLeast(0),
@@ -340,6 +341,23 @@
         )
     }
 
+    /** Log fields for the end that the answer to [call] was expected to have at [backend]. */
+    private fun answerDetails(
+        world: GatewayWorld,
+        call: Call,
+        backend: Backend,
+        nowMs: Long,
+    ): Map<String, Any?> {
+        val outputTokens = call.spec.prompt?.outputTokens ?: return emptyMap()
+        val state = world.service(call.service)
+        return mapOf(
+            "outputTokens" to outputTokens,
+            "expectedEvents" to state.answerLengths.expectedEvents(outputTokens).toInt(),
+            "eventGapMs" to backend.life.gapEstimator.gapMs(nowMs).toInt(),
+            "promptTokensPerMs" to (1 / state.msPerPromptToken).toInt(),
+        )
+    }
+
     private fun addPromptLoad(
         world: GatewayWorld,
         choice: Placement.Local,
