Compare the expected end of an answer with its caller's limit

Callers of long prompts and of the longest chats wait until their limit, get a part of an answer, and engines have worked in vain.

Cause: placement compared when an answer begins, not when it ends. The region that owns the shared parts of a prompt was chosen by its mean wait and the pauses that the prompt causes, without the pace of its engines; a call was rejected only when its first event was expected after its limit. So long prompts went on to engines that read without a pause, at 640 ms an event, for callers with 4.5 s left. Class: a decision by the beginning of work of which only the end is of use.

Now an owner is used only if the answer is expected to end in time, other regions count the pace in their cost, and a call that is not among the most urgent of its service is rejected at once where its answer is expected to end 1.2 times after its limit; a relayed one then goes to another region.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallCosts.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallCosts.kt
@@ -62,14 +62,19 @@
     /** Lower bound of the mean call time, also used before any call has completed. */
     private const val MIN_CALL_MS = 20.0
 
+    /** Expected time from the first event of an answer to its last one. */
+    fun answerMs(call: Call, state: ServiceState, eventGapMs: Double): Double {
+        val tokens = call.spec.prompt?.outputTokens ?: return 0.0
+        return state.answerLengths.expectedEvents(tokens) * eventGapMs
+    }
+
     /**
      * Cost of the time for the events after the first one. Its weight is low while the answer can
      * be finished; what goes beyond a safe fraction of the caller's remaining time counts in full,
      * since most of a long answer is lost when it times out.
      */
     fun answerDelayMs(call: Call, state: ServiceState, eventGapMs: Double, nowMs: Long): Double {
-        val tokens = call.spec.prompt?.outputTokens ?: return 0.0
-        val answerMs = state.answerLengths.expectedEvents(tokens) * eventGapMs
+        val answerMs = answerMs(call, state, eventGapMs)
         val excessMs = answerMs - call.remainingMs(nowMs) * SAFE_TIME_FRACTION
         return answerMs * ANSWER_WEIGHT + excessMs.coerceAtLeast(0.0)
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -25,6 +25,9 @@
  */
 internal const val SLOW_FACTOR = 4.0
 
+/** An answer is often shorter than its caller estimates, so that it may end this much sooner. */
+private const val END_TOLERANCE = 1.2
+
 /** Sends calls to the places that the policy chooses, within the limits for runs and retries. */
 class CallPlacer(
     private val placement: PlacementPolicy,
@@ -57,7 +60,7 @@
             is Placement.Local -> when {
                 // Refuses at once instead of letting the caller wait for a timeout. A caller that
                 // already has events is better served by a late end of the stream.
-                choice.waitMs > remainingMs && !call.isStreamStarted ->
+                isTooLate(world, call, choice, remainingMs) ->
                     fail(world, tick, call, CallRefusal.OVERLOADED, retryAfterMs(choice.waitMs))
                 tryAdmit(world, tick, choice.backend) -> sendIfPermitted(world, tick, call, choice)
                 // The server was asked for its health just now.
@@ -68,6 +71,24 @@
         }
     }
 
+    /**
+     * Whether an answer that begins and ends as expected at [choice] is of no use to its caller. The
+     * most urgent calls are only held to its beginning: nothing more urgent waits behind them, and
+     * many of their answers end sooner than expected.
+     */
+    private fun isTooLate(
+        world: GatewayWorld,
+        call: Call,
+        choice: Placement.Local,
+        remainingMs: Long,
+    ): Boolean {
+        if (call.isStreamStarted) return false
+        if (choice.waitMs > remainingMs) return true
+        val urgentPriority = world.catalog?.mostUrgentPriority(call.service) ?: 0
+        val isMostUrgent = call.route.priority <= urgentPriority
+        return !isMostUrgent && choice.endMs > remainingMs * END_TOLERANCE
+    }
+
     /**
      * Asks [backend] for its health if there was no recent contact, since it may have started again
      * unnoticed. Returns whether a call may go there before the answer.
@@ -305,7 +326,8 @@
         val send = newSend(world, tick, call, SendPlace.AtServer(backend.id), permit)
         send.expectedFirstEventMs = choice.waitMs
         val details = retryDetails(world, tick, call) +
-            serverDetails(choice, call, tick.nowMs) + answerDetails(world, call, backend, tick.nowMs)
+            serverDetails(choice, call, tick.nowMs) +
+            answerDetails(world, call, backend, tick.nowMs)
         backend.recentSends.add(send.id, tick.nowMs)
         backend.life.limit.take()
         backend.inFlight++
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/OtherRegions.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/OtherRegions.kt
@@ -57,11 +57,24 @@
     val waitMs = remoteWaitMs(world, call, load)
     val totalWaitMs = latest.roundTripMs + waitMs + CallCosts.remoteExtraPromptMs(world, call) +
         (1 + waitMs) * relayedPerSlot + random.nextDouble() * REGION_JITTER_MS
+    return placementAt(peers[random.nextInt(peers.size)], world, call, load, totalWaitMs, nowMs)
+}
+
+/** Returns [peer], whose region has [load], as the place of [call], which waits there for [waitMs]. */
+private fun placementAt(
+    peer: Peer,
+    world: GatewayWorld,
+    call: Call,
+    load: ServiceLoad,
+    waitMs: Double,
+    nowMs: Long,
+): Placement.Remote {
+    val state = world.service(call.service)
     val gapMs = load.eventGapMs.toDouble()
-    val totalCostMs =
-        totalWaitMs + CallCosts.answerDelayMs(call, world.service(call.service), gapMs, nowMs) +
-            CallCosts.remoteInterferenceMs(world, call, load)
-    return Placement.Remote(peers[random.nextInt(peers.size)], totalWaitMs, totalCostMs)
+    val costMs = waitMs + CallCosts.answerDelayMs(call, state, gapMs, nowMs) +
+        CallCosts.remoteInterferenceMs(world, call, load)
+    val endMs = waitMs + CallCosts.answerMs(call, state, gapMs)
+    return Placement.Remote(peer, waitMs, costMs, endMs)
 }
 
 /** Returns the cheapest of the regions [owners], whose engines own the shared parts of [call]. */
@@ -76,7 +89,7 @@
     return relayPeersByRegion(world, call, nowMs)
         .filterKeys { it in owners }
         .values
-        .mapNotNull { remoteOwnerCandidate(world, call, it, random) }
+        .mapNotNull { remoteOwnerCandidate(world, call, it, nowMs, random) }
         .minByOrNull { it.costMs }
 }
 
@@ -84,14 +97,14 @@
     world: GatewayWorld,
     call: Call,
     peers: List<Peer>,
+    nowMs: Long,
     random: Random,
 ): Placement.Remote? {
     val latest = peers.maxBy { it.lastHeardMs }
     val load = latest.services[call.service]?.takeIf { it.totalSlots > 0 } ?: return null
     val relayed = peers.sumOf { it.relayedSinceDatagram }
     val totalWaitMs = latest.roundTripMs + CallCosts.remoteOwnerWaitMs(world, call, load, relayed)
-    val totalCostMs = totalWaitMs + CallCosts.remoteInterferenceMs(world, call, load)
-    return Placement.Remote(peers[random.nextInt(peers.size)], totalWaitMs, totalCostMs)
+    return placementAt(peers[random.nextInt(peers.size)], world, call, load, totalWaitMs, nowMs)
 }
 
 private fun remoteWaitMs(world: GatewayWorld, call: Call, load: ServiceLoad): Long {
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Placement.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Placement.kt
@@ -6,12 +6,14 @@
 /** Where a call should go, if anywhere. */
 sealed interface Placement {
     /**
-     * An available place. [waitMs] is the expected time to the first event; [costMs] adds what the
-     * time for the rest of the answer and the delay of other calls count against the place.
+     * An available place. [waitMs] is the expected time to the first event and [endMs] that to the end
+     * of the answer; [costMs] adds to the wait what the time for the rest of the answer and the delay
+     * of other calls count against the place.
      */
     sealed interface Candidate : Placement {
         val waitMs: Double
         val costMs: Double
+        val endMs: Double
     }
 
     /**
@@ -22,12 +24,17 @@
         val backend: Backend,
         override val waitMs: Double,
         override val costMs: Double,
+        override val endMs: Double,
         val source: PartSource? = null,
     ) : Candidate
 
     /** A peer in another region, which chooses the server. */
-    data class Remote(val peer: Peer, override val waitMs: Double, override val costMs: Double) :
-        Candidate
+    data class Remote(
+        val peer: Peer,
+        override val waitMs: Double,
+        override val costMs: Double,
+        override val endMs: Double,
+    ) : Candidate
 
     /** No place is available. [retryAfterMs] is the time after which one may be. */
     data class Unavailable(val reason: CallRefusal, val retryAfterMs: Long) : Placement
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -23,7 +23,8 @@
 class RealPlacementPolicy : PlacementPolicy {
     override fun choose(world: GatewayWorld, call: Call, nowMs: Long, random: Random): Placement {
         val owner = chooseCacheOwner(world, call, nowMs, random)
-        if (owner != null && owner.waitMs <= call.remainingMs(nowMs)) return owner
+        // An owner whose answer would come too late saves nothing.
+        if (owner != null && owner.endMs <= call.remainingMs(nowMs)) return owner
         return chooseAmongAll(world, call, nowMs, random)
     }
 
@@ -137,19 +138,16 @@
         val priority = call.route.priority
         val totalWaitMs = (source?.copyMs ?: 0.0) +
             CallCosts.firstEventMs(backend, state, tokens, priority, prompt != null, nowMs)
-        val answerCostMs = CallCosts.answerDelayMs(
-            call,
-            state,
-            backend.life.gapEstimator.gapMs(nowMs),
-            nowMs,
-        )
+        val gapMs = backend.life.gapEstimator.gapMs(nowMs)
+        val answerCostMs = CallCosts.answerDelayMs(call, state, gapMs, nowMs)
         val interferenceCostMs =
             prompt?.let { CallCosts.interferenceMs(backend, it, tokens, state) } ?: 0.0
         return Placement.Local(
-            backend,
-            totalWaitMs,
-            totalWaitMs + answerCostMs + interferenceCostMs,
-            source,
+            backend = backend,
+            waitMs = totalWaitMs,
+            costMs = totalWaitMs + answerCostMs + interferenceCostMs,
+            endMs = totalWaitMs + CallCosts.answerMs(call, state, gapMs),
+            source = source,
         )
     }
 
