Count only the rest of a stream that is taken up

Callers that came back were rejected that could have been served.

Now the events that the caller has are left out, and a take-up is held to the beginning of its answer only, as a stream is that goes on within one answer. The new test of SlowAnswersTest fails without it.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallCosts.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallCosts.kt
@@ -62,10 +62,14 @@
     /** Lower bound of the mean call time, also used before any call has completed. */
     private const val MIN_CALL_MS = 20.0
 
-    /** Expected time from the first event of an answer to its last one. */
+    /**
+     * Expected time from the first event that the caller of [call] still lacks to the last one of its
+     * answer.
+     */
     fun answerMs(call: Call, state: ServiceState, eventGapMs: Double): Double {
         val tokens = call.spec.prompt?.outputTokens ?: return 0.0
-        return state.answerLengths.expectedEvents(tokens) * eventGapMs
+        val events = state.answerLengths.expectedEvents(tokens) - (call.spec.resumeAfter ?: 0)
+        return events.coerceAtLeast(0.0) * eventGapMs
     }
 
     /**
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -82,7 +82,8 @@
     /**
      * Whether an answer that begins and ends as expected at [choice] is of no use to its caller. The
      * most urgent calls are only held to its beginning: nothing more urgent waits behind them, and
-     * many of their answers end sooner than expected.
+     * many of their answers end sooner than expected. So are take-ups, as their callers have a part of
+     * the answer already.
      */
     private fun isTooLate(
         world: GatewayWorld,
@@ -94,7 +95,7 @@
         if (choice.waitMs > remainingMs) return true
         val urgentPriority = world.catalog?.mostUrgentPriority(call.service) ?: 0
         val isMostUrgent = call.route.priority <= urgentPriority
-        return !isMostUrgent && choice.endMs > remainingMs * END_TOLERANCE
+        return !isMostUrgent && !isTakeUp(call.spec) && choice.endMs > remainingMs * END_TOLERANCE
     }
 
     /**
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/SlowAnswersTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/SlowAnswersTest.kt
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.Test
 import org.pomeloladder.configuration.BackendServerId
+import org.pomeloladder.decisions.RequestId
 import strikt.api.expectThat
 import strikt.assertions.hasSize
 import strikt.assertions.isA
@@ -73,6 +74,25 @@
         expectThat(gateway.call(chat, prompt).second.all<StartSend>()).hasSize(1)
     }
 
+    // Guards against a caller that has most of an answer and is rejected by the time for all of it.
+    @Test
+    fun `a caller that takes up a stream is served although its end may come too late`() {
+        slowDown(gapMs = 700.0)
+        val origin = StreamOrigin(RequestId("r1"), MODEL, SoftwareVersion("v1"))
+        gateway.world.streams.put(origin, gateway.nowMs)
+        val takeUp = CallSpec(
+            requestId = RequestId("r2"),
+            host = brief.host,
+            path = brief.prefix,
+            budgetMs = 3_000,
+            prompt = prompt,
+            resumeAfter = 5,
+            resumedRequest = RequestId("r1"),
+        )
+
+        expectThat(gateway.tick(CallArrived(CallId(99), takeUp)).all<StartSend>()).hasSize(1)
+    }
+
     // Guards against choosing the owner of a cached part by the time to the first event alone.
     @Test
     fun `a long prompt does not go to a region whose engines answer too slowly`() {
