Take a status that HTTP does not know for no answer

Here the route gateway took every status below 200 for that of an informational response, so that a call with 000 waited on until a limit ended it, and passed 600 and above on as answers; a health check with 600 counted as an answer. The subscriber gateway passed 600 and 999 on. Cause: the status was compared with the bounds of the classes in use, not with those that HTTP knows. Now a status outside 100 to 599 is a response that is no HTTP, on both gateways and for fetches.

CutResponseTest: 600 and 999 failed before, 000 and 099 held.

--- a/daemon/src/main/kotlin/org/pomeloladder/daemon/RealBackendClient.kt
+++ b/daemon/src/main/kotlin/org/pomeloladder/daemon/RealBackendClient.kt
@@ -32,6 +32,9 @@
 import org.pomeloladder.decisions.RunState
 import org.pomeloladder.peer.ResponsePart
 
+/** The statuses that HTTP knows (RFC 9110, 15). */
+private val VALID_STATUSES = 100..599
+
 private const val CONNECT_TIMEOUT_MS = 2_000L
 private const val MAX_CONNECTIONS_PER_SERVER = 1_024
 private const val MAX_HEAD_BYTES = 65_536
@@ -126,6 +129,7 @@
     private fun readResponse(attempt: BackendAttempt, response: Response): BackendResult {
         val status = response.status
         if (attempt.isCancelled) return ended(AttemptOutcome.Cancelled)
+        if (status.code !in VALID_STATUSES) return invalidStatus(attempt, status)
         if (attempt.call == BackendCall.LOOK_UP_ORDER) return readLookupResponse(attempt, response)
         if (!attempt.isResponseStarted) return ended(transportFailure(attempt, status))
         return when (attempt.call) {
@@ -135,6 +139,17 @@
         }
     }
 
+    /** Ends [attempt] without passing the response on; the request may have run. */
+    private fun invalidStatus(attempt: BackendAttempt, status: Status): BackendResult {
+        val detail = "status ${status.code}"
+        val refusal = Refusal(RefusalReason.BACKEND_FAILED, RunState.UNKNOWN, detail)
+        return if (attempt.call == BackendCall.LOOK_UP_ORDER) {
+            BackendResult.LookupFailed(refusal)
+        } else {
+            ended(AttemptOutcome.Failed(refusal))
+        }
+    }
+
     /**
      * Reads the response to an order lookup. Only success and 404 are conclusive; any other status
      * says nothing about the order.
--- a/daemon/src/test/kotlin/org/pomeloladder/daemon/CutResponseTest.kt
+++ b/daemon/src/test/kotlin/org/pomeloladder/daemon/CutResponseTest.kt
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
+import org.junit.jupiter.params.provider.ValueSource
 import org.pomeloladder.decisions.AttemptOutcome
 import org.pomeloladder.decisions.BackendCall
 import strikt.api.expectThat
@@ -130,6 +131,18 @@
         expectOnlyWhole(LOOK_UP, absent, end, absent.length)
     }
 
+    // Guards against a status that is passed on to a caller as that of an answer.
+    @ParameterizedTest
+    @ValueSource(strings = ["000", "099", "600", "999"])
+    fun `a response with a status that HTTP does not know is no answer`(status: String) {
+        val text = "HTTP/1.1 $status Odd\r\nContent-Length: 2\r\n\r\n{}"
+        for (call in BackendCall.entries) {
+            val results = results(call, text, End.CLOSE, text.length..text.length)
+
+            expectThat(results.values.filter { it.isConclusive }).isEmpty()
+        }
+    }
+
     // Guards against an informational response that stands for the response itself.
     @ParameterizedTest
     @EnumSource(names = ["RESET"])
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/Fetcher.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/Fetcher.kt
@@ -150,8 +150,9 @@
             }
         }
 
-        private fun isSound(response: FullHttpResponse) =
-            response.decoderResult().isSuccess && !containsStatusLine(response)
+        private fun isSound(response: FullHttpResponse) = response.decoderResult().isSuccess &&
+            !containsStatusLine(response) &&
+            hasValidStatus(response)
 
         override fun channelInactive(ctx: ChannelHandlerContext) {
             idle.remove(address, this)
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/Headers.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/Headers.kt
@@ -49,3 +49,9 @@
 
 private val STATUS_LINE_START = Regex("""HTTP/1\.\d \d{3}""")
 private const val MS_PER_S = 1_000L
+
+/** Whether HTTP knows the class of the status (RFC 9110, 15). */
+internal fun hasValidStatus(response: HttpResponse): Boolean =
+    response.status().code() in VALID_STATUSES
+
+private val VALID_STATUSES = 100..599
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/ServerConnection.kt
@@ -293,7 +293,7 @@
             val reason = if (isCut) BreakReason.CONNECTION_LOST else BreakReason.NOT_HTTP
             return finish(SendOutcome.Broken(reason))
         }
-        if (containsStatusLine(message)) {
+        if (containsStatusLine(message) || !hasValidStatus(message)) {
             isReusable = false
             return finish(SendOutcome.Broken(BreakReason.NOT_HTTP))
         }
