Bind only calls on routes whose streams may be taken up

A call on any other route that carried Last-Event-Id or Resumes was treated as a take-up and waited for, or was rejected without, a version. The headers mean nothing there, so that such a call is placed as any other.

CallSystemTest has a test for it; it was run with this change only.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Catalog.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Catalog.kt
@@ -34,7 +34,11 @@
 ) {
     /** Whether a call that may already have run may be sent to another backend server. */
     val isRepeatable: Boolean
-        get() = kind == RouteKind.IDEMPOTENT || kind == RouteKind.STREAMING && isResumable
+        get() = kind == RouteKind.IDEMPOTENT || isResumableStream
+
+    /** Whether a caller may take up its stream after a broken connection. */
+    val isResumableStream: Boolean
+        get() = kind == RouteKind.STREAMING && isResumable
 
     fun allowsRegion(region: RegionId) = homes.isEmpty() || region in homes
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -51,7 +51,7 @@
         send: Send,
         event: AnswerStarted,
     ) {
-        if (call.route.kind != RouteKind.STREAMING || !call.route.isResumable) return
+        if (!call.route.isResumableStream) return
         if (call.binding == StreamBinding.Free) {
             val version = event.peerVersion ?: versionOf(world, send, tick.nowMs)
             call.binding = StreamBinding.of(version)
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/StreamOriginSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/StreamOriginSystem.kt
@@ -231,10 +231,11 @@
     spec.resumeAfter != null || spec.resumedRequest != null
 
 /**
- * Binds [call], which takes up a stream, to the version that began it. Returns false if other VMs
+ * Binds [call], if it takes up a stream, to the version that began it. Returns false if other VMs
  * have to be asked first; [StreamOriginSystem] then places the call.
  */
 internal fun bindTakeUp(world: GatewayWorld, tick: GatewayTick, call: Call): Boolean {
+    if (!call.route.isResumableStream) return true
     val origin = call.spec.origin
     if (origin is CallOrigin.Peer) {
         if (origin.version != null || isTakeUp(call.spec)) {
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/StreamOrigins.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/StreamOrigins.kt
@@ -155,5 +155,5 @@
 
 /** Longest time from the first event of a stream to its last take-up. */
 internal fun streamLifeMs(world: GatewayWorld): Long = world.catalog?.routes.orEmpty()
-    .filter { it.kind == RouteKind.STREAMING && it.isResumable }
+    .filter { it.isResumableStream }
     .maxOfOrNull { it.timeoutMs * LIFE_FACTOR } ?: DEFAULT_LIFE_MS
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/CallSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/CallSystemTest.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Test
 import org.pomeloladder.configuration.FailureDomainId
 import org.pomeloladder.configuration.VmId
+import org.pomeloladder.decisions.RequestId
 import strikt.api.expectThat
 import strikt.assertions.hasSize
 import strikt.assertions.isA
@@ -35,6 +36,24 @@
         expectThat(commands.all<StartSend>()).hasSize(1)
     }
 
+    // Guards against rejecting a call that is no take-up because of a header that means nothing on its
+    // route.
+    @Test
+    fun `the last event id of a call that is no stream does not bind it to a version`() {
+        ready(server("a"))
+        val spec = CallSpec(
+            requestId = RequestId("r2"),
+            host = lookup.host,
+            path = lookup.prefix,
+            budgetMs = null,
+            prompt = null,
+            resumeAfter = 3,
+            resumedRequest = RequestId("r1"),
+        )
+
+        expectThat(gateway.tick(CallArrived(CallId(99), spec)).all<StartSend>()).hasSize(1)
+    }
+
     @Test
     fun `a call with an unknown path is refused without a route`() {
         ready(server("a"))
