--- a/bench/src/test/kotlin/org/pomeloladder/bench/SoakCallers.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/SoakCallers.kt
@@ -37,27 +37,27 @@
     }
     private val input = BufferedInputStream(socket.getInputStream())
 
-    /** Sends one request and reads its response. */
-    fun call(id: String, path: String): SoakAnswer {
+    /** Sends one request, with more [headers] than usual, and reads its response. */
+    fun call(id: String, path: String, headers: String = ""): SoakAnswer {
         if (input.available() > 0) throw MalformedResponse("response before the request $id")
         val request = "POST $path HTTP/1.1\r\nHost: shop.example\r\n" +
             "X-Pomeloladder-Request-Id: $id\r\nX-Pomeloladder-Deadline-Ms: $DEADLINE_MS\r\n" +
-            "Content-Length: ${BODY.length}\r\n\r\n$BODY"
+            "Content-Length: ${BODY.length}\r\n$headers\r\n$BODY"
         socket.getOutputStream().write(request.toByteArray())
         val status = readStatus(id)
-        val headers = readHeaders()
+        val answerHeaders = readHeaders()
         val body = StringBuilder()
         val isComplete = try {
-            val length = headers["content-length"]
+            val length = answerHeaders["content-length"]
             when {
-                "chunked" in headers["transfer-encoding"].orEmpty() -> readChunks(id, body)
+                "chunked" in answerHeaders["transfer-encoding"].orEmpty() -> readChunks(id, body)
                 length != null -> read(length.toInt(), body)
                 else -> read(Int.MAX_VALUE, body).let { true }
             }
         } catch (_: IOException) {
             false
         }
-        return SoakAnswer(status, headers, body.toString(), isComplete)
+        return SoakAnswer(status, answerHeaders, body.toString(), isComplete)
     }
 
     private fun readStatus(id: String): Int {
--- a/standins/src/main/kotlin/org/pomeloladder/standins/RouteServerStandIn.kt
+++ b/standins/src/main/kotlin/org/pomeloladder/standins/RouteServerStandIn.kt
@@ -40,9 +40,13 @@
 
 /**
  * A server with the id [instance] that processes each request for [processingMs] before responding.
+ * The texts of its streams differ by the [version] of its software.
  */
-class RouteServerStandIn(override val instance: String, private val processingMs: Long = 20) :
-    RouteServer {
+class RouteServerStandIn(
+    override val instance: String,
+    private val processingMs: Long = 20,
+    private val version: String = FIRST_VERSION,
+) : RouteServer {
     private val port = ReservedPort()
 
     @Volatile
@@ -105,7 +109,8 @@
     override fun gave(id: String, status: Int): Boolean = status in givenStatuses[id].orEmpty()
 
     override fun entry(service: String, zone: String, state: String, endpoint: Address) =
-        """{"Service":"$service","Address":"$endpoint","Zone":"$zone","Version":"v1","Slots":6,""" +
+        """{"Service":"$service","Address":"$endpoint","Zone":"$zone","Version":"$version",""" +
+            """"Slots":6,""" +
             """"State":"$state","ColdLeftMs":${life.coldLeftMs},""" +
             """"Seq":${life.nextSequence()},"born":${life.bornUnixMs}}"""
 
@@ -199,7 +204,7 @@
             if (position == pending.size) {
                 if (nextNumber > STREAM_EVENTS) return -1
                 Thread.sleep(EVENT_INTERVAL_MS)
-                pending = event(nextNumber++, id).toByteArray()
+                pending = event(nextNumber++, id, version).toByteArray()
                 position = 0
             }
             if (mode == ServerMode.BREAKING && position > 0) throw IOException("stream cut off")
@@ -221,7 +226,12 @@
         /** From this event on, a stream of a server in mode [ServerMode.BREAKING] fails. */
         private const val FIRST_BROKEN_EVENT = STREAM_EVENTS / 2
 
-        /** The text of event [number] in the response to the request [id]. */
-        fun event(number: Int, id: String) = "id: $number\ndata: $number of $id\n\n"
+        const val FIRST_VERSION = "v1"
+
+        /** The text of event [number] in the response to the request [id] by a server of [version]. */
+        fun event(number: Int, id: String, version: String = FIRST_VERSION): String {
+            val mark = if (version == FIRST_VERSION) "" else " at $version"
+            return "id: $number\ndata: $number of $id$mark\n\n"
+        }
     }
 }
