--- a/bench/src/test/kotlin/org/pomeloladder/bench/GatewayVersionsTest.kt
+++ b/bench/src/test/kotlin/org/pomeloladder/bench/GatewayVersionsTest.kt
@@ -113,7 +113,7 @@
     // Guards against a caller that gets the rest of its stream from a server of another version, at
     // the process that began it or, when that was killed, at another one.
     @Test
-    fun `no stream holds events of two versions while servers break off and processes are killed`() {
+    fun `no stream holds events of two versions when servers break off and processes die`() {
         repeat(ROUNDS) { round ->
             val broken = servers[round % SERVERS]
             broken.mode = ServerMode.BREAKING
