Reject long prompts whose answers have little time to spare

Long prompts were admitted as long as their answers were expected to end by 1.2 of the time left. Engines slow down afterwards, so that many of them failed and had slowed the more urgent answers beside them. Now 0.7 of the time left is the limit for calls that are not among the most urgent of their service.

The new test fails with the tolerance of before; its counterpart guards against a limit that is too low.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -25,8 +25,11 @@
  */
 internal const val SLOW_FACTOR = 4.0
 
-/** An answer is often shorter than its caller estimates, so that it may end this much sooner. */
-private const val END_TOLERANCE = 1.2
+/**
+ * Part of the time left by which an answer must be expected to end. Under load, engines slow down
+ * while it runs, since more calls come to them.
+ */
+private const val MAX_END_FRACTION = 0.7
 
 /** Sends calls to the places that the policy chooses, within the limits for runs and retries. */
 class CallPlacer(
@@ -95,7 +98,9 @@
         if (choice.waitMs > remainingMs) return true
         val urgentPriority = world.catalog?.mostUrgentPriority(call.service) ?: 0
         val isMostUrgent = call.route.priority <= urgentPriority
-        return !isMostUrgent && !isTakeUp(call.spec) && choice.endMs > remainingMs * END_TOLERANCE
+        return !isMostUrgent &&
+            !isTakeUp(call.spec) &&
+            choice.endMs > remainingMs * MAX_END_FRACTION
     }
 
     /**
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/SlowAnswersTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/SlowAnswersTest.kt
@@ -55,6 +55,25 @@
         expectThat(refusal.reason).isEqualTo(CallRefusal.OVERLOADED)
     }
 
+    // Guards against filling engines with long prompts that end just in time only while nothing else
+    // comes, so that the longest of the more urgent answers run out of time (SHORT).
+    @Test
+    fun `a long prompt is rejected when its answer has little time to spare`() {
+        slowDown(gapMs = 360.0)
+
+        val refusal = gateway.call(brief, prompt).second.only<RefuseCall>()
+
+        expectThat(refusal.reason).isEqualTo(CallRefusal.OVERLOADED)
+    }
+
+    // Guards against a limit so low that engines with time to spare get nothing.
+    @Test
+    fun `a long prompt is sent when its answer has a third of its time to spare`() {
+        slowDown(gapMs = 280.0)
+
+        expectThat(gateway.call(brief, prompt).second.all<StartSend>()).hasSize(1)
+    }
+
     // Guards against a region that gives up a call which another region can serve.
     @Test
     fun `a relayed call whose answer would end too late is left to other regions`() {
