Hand calls to VMs that reach the servers

A fact about the path was kept as one about the server: a back-off ended by time, peers were chosen without regard to what they reach, and no call could go to a neighbour.

Now a server that this VM does not reach gets nothing from it until it answers. Datagrams tell how many slots of each service their sender reaches; calls go only to VMs that reach some, also within the region to one that reaches twice as much. A VM that is cut off no longer accuses sound servers of a restart.

The field that tells what a VM reaches is new in datagrams; processes without it are taken to reach what they report as free.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -34,6 +34,12 @@
     var doubt: LifeDoubt? = null
         internal set
 
+    /**
+     * Time since which this VM does not reach the server, or null while it does. It says nothing of
+     * the server's life, since only the path to it may be gone.
+     */
+    var unreachedSinceMs: Long? = null
+
     /** Time of the last health check because of a lost connection. */
     var checkedMs = NEVER_MS
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
@@ -46,6 +46,9 @@
     val suspectParts = Table<PartId, SuspectPart>()
     val process = GatewayState()
 
+    /** Servers that this VM does not reach. */
+    val unreachedServers = LinkedHashSet<BackendServerId>()
+
     /** Servers whose life is in doubt. */
     val doubtedServers = LinkedHashSet<BackendServerId>()
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
@@ -56,6 +56,8 @@
     @SerialName("e") val eventGapMs: Float = 0f,
     @SerialName("f") val meanWaitMs: Long = waitMs,
     @SerialName("g") val urgentWaitMs: Long = waitMs,
+    /** Slots that the sender has a path to, with those of servers that take nothing at the moment. */
+    @SerialName("h") val reachedSlots: Int = totalSlots,
 )
 
 /** A shared part of a prompt that was sent to a server and is probably in its cache. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/OtherRegions.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/OtherRegions.kt
@@ -1,11 +1,13 @@
 /*
- * Estimates what other regions offer for a call, from the datagrams of their entry VMs. The peer to
- * which the call is relayed chooses the server.
+ * Estimates what other regions offer for a call, from the datagrams of their entry VMs, and what the
+ * own one offers at a VM that reaches more of its servers. The peer to which the call is relayed
+ * chooses the server.
  */
 package org.pomeloladder.gateway
 
 import kotlin.random.Random
 import org.pomeloladder.configuration.RegionId
+import org.pomeloladder.configuration.ServiceId
 
 /**
  * Random jitter that spreads calls over regions with similar figures; smaller than the changes of
@@ -25,7 +27,7 @@
 /** Whether [call] may be relayed to [peer]. */
 private fun canRelayTo(world: GatewayWorld, call: Call, peer: Peer, nowMs: Long): Boolean {
     val region = peer.identity.region
-    return region != world.self.region &&
+    return reaches(world, peer, call.service, nowMs) &&
         !call.isProbe &&
         call.allowsRegion(region) &&
         peer.isLive &&
@@ -35,6 +37,14 @@
         nowMs >= peer.unreachableUntilMs
 }
 
+/** Whether [peer] reaches servers of [service], in this region more of them than this VM. */
+private fun reaches(world: GatewayWorld, peer: Peer, service: ServiceId, nowMs: Long): Boolean {
+    if (peer.identity.region == world.self.region) {
+        return isBetterConnected(world, peer, service, nowMs)
+    }
+    return (peer.services[service]?.reachedSlots ?: 0) > 0
+}
+
 /** Returns the cheapest other region for a call that any engine there may serve. */
 internal fun bestRemote(
     world: GatewayWorld,
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PartOwners.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PartOwners.kt
@@ -37,8 +37,8 @@
     val ranked = world.backends
         .filter { isOwnerCandidate(world, call, it, reachableRegions, nowMs) }
         .rendezvousOrder(shared.last().id.value) { it.id.value }
-    val (localServers, remoteServers) =
-        ranked.take(OWNERS_PER_PART).partition { isLocal(world, it) }
+    val (localServers, remoteServers) = ranked.take(OWNERS_PER_PART)
+        .partition { isLocal(world, it) && isUsable(world, it, nowMs) }
     val isRelayed = call.spec.origin is CallOrigin.Peer
     return when {
         !isRelayed -> PartOwners(
@@ -47,7 +47,11 @@
         )
         localServers.isNotEmpty() -> PartOwners(localServers, emptySet())
         // The process that relayed the call may know other servers than this one.
-        else -> PartOwners(ranked.filter { isLocal(world, it) }.take(OWNERS_PER_PART), emptySet())
+        else -> PartOwners(
+            ranked.filter { isLocal(world, it) && isUsable(world, it, nowMs) }
+                .take(OWNERS_PER_PART),
+            emptySet(),
+        )
     }
 }
 
@@ -61,9 +65,10 @@
     if (!mayServe(call, backend)) return false
     if (!isStable(world, backend, nowMs)) return false
     val region = regionOf(world, backend) ?: return false
+    val isReachedByNeighbour = backend.unreachedSinceMs != null && region in reachableRegions
     return when (region) {
         world.self.region -> call.allowsRegion(region) &&
-            isUsable(world, backend, nowMs) &&
+            (isUsable(world, backend, nowMs) || isReachedByNeighbour) &&
             hasLimitCapacity(world, backend, nowMs)
         else -> region in reachableRegions
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
@@ -341,7 +341,7 @@
             era = view?.era ?: PlatformEra.UNKNOWN,
             catalogEra = view?.catalogPosition?.era ?: PlatformEra.UNKNOWN,
             shares = if (isLocal) loadShares(world, tick) else emptyList(),
-            services = if (isLocal) emptyList() else serviceLoads(world, tick),
+            services = serviceLoads(world, tick),
             cached = if (isLocal) world.recentlyCached.takeLast(MAX_CACHED_PARTS) else emptyList(),
             others = others.map { PeerAddress(it.vm, it.identity.gossip, it.identity.region) },
             evidence = evidenceReports(world, tick.nowMs),
@@ -372,7 +372,7 @@
     private fun serviceLoads(world: GatewayWorld, tick: GatewayTick): List<ServiceLoad> =
         world.catalog?.services.orEmpty()
             .map { placement.summarizeLoad(world, it.id, tick.nowMs) }
-            .filter { it.totalSlots > 0 }
+            .filter { it.reachedSlots > 0 }
 
     /** The totals depend on datagrams, on the set of live peers and on the table of servers. */
     private fun areTotalsStale(world: GatewayWorld) =
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Placement.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Placement.kt
@@ -28,7 +28,7 @@
         val source: PartSource? = null,
     ) : Candidate
 
-    /** A peer in another region, which chooses the server. */
+    /** A peer in another region, or with a better path to the servers of this one. */
     data class Remote(
         val peer: Peer,
         override val waitMs: Double,
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -170,10 +170,7 @@
     private fun unavailable(world: GatewayWorld, call: Call, nowMs: Long): Placement.Unavailable {
         val hasServers = world.backends.any { it.record.service == call.service }
         val reason = if (hasServers) CallRefusal.OVERLOADED else CallRefusal.NO_BACKEND
-        val reachableInMs = world.backends
-            .filter { it.record.service == call.service }
-            .minOfOrNull { it.life.unreachableUntilMs - nowMs } ?: MIN_RETRY_AFTER_MS
-        val usableInMs = maxOf(reachableInMs, limitWaitMs(world, call.service, nowMs))
+        val usableInMs = limitWaitMs(world, call.service, nowMs)
         return Placement.Unavailable(
             reason,
             usableInMs.coerceIn(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS),
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
@@ -133,8 +133,6 @@
         val isNewLife =
             !doubt.isRefused && coldForMs > 0 && tick.nowMs >= backend.life.coldUntilMs
         if (isNewLife) backend.life = ServerLife(tick.nowMs)
-        backend.life.connectFailures = 0
-        backend.life.unreachableUntilMs = 0
         backend.life.coldUntilMs = maxOf(backend.life.coldUntilMs, tick.nowMs + coldForMs)
         backend.endDoubt(tick.nowMs)
         world.process.hasLifeEvidence = true
@@ -151,9 +149,7 @@
 
     private fun checkDoubted(world: GatewayWorld, tick: GatewayTick) {
         if (world.doubtedServers.isEmpty()) return
-        val vms = world.liveRegionPeers().size + 1
-        val intervalMs = (CHECK_INTERVAL_MS * maxOf(1, vms / FREQUENT_CHECKERS))
-            .coerceAtMost(MAX_CHECK_INTERVAL_MS)
+        val intervalMs = checkIntervalMs(world)
         world.doubtedServers.removeIf { world.backends[it]?.doubt == null }
         for (id in world.doubtedServers) {
             val backend = world.backends[id] ?: continue
@@ -175,6 +171,13 @@
     checkDoubt(world, tick, backend, MIN_CHECK_INTERVAL_MS)
 }
 
+/** Interval at which this VM checks a server that has shown no sign of life. */
+internal fun checkIntervalMs(world: GatewayWorld): Long {
+    val vms = world.liveRegionPeers().size + 1
+    return (CHECK_INTERVAL_MS * maxOf(1, vms / FREQUENT_CHECKERS))
+        .coerceAtMost(MAX_CHECK_INTERVAL_MS)
+}
+
 /** Checks [backend] if it is in doubt, [minIntervalMs] after its last check at the earliest. */
 private fun checkDoubt(
     world: GatewayWorld,
@@ -233,7 +236,7 @@
 /** Returns what datagrams to the VMs of this region tell of restarts. */
 internal fun restartReports(world: GatewayWorld, tick: GatewayTick): List<RestartReport> {
     val nowMs = tick.nowMs
-    val restarted = world.backends.filter { hasRestartNews(it, nowMs) }
+    val restarted = world.backends.filter { hasRestartNews(world, it, nowMs) }
     // A random choice tells all of them within a few datagrams.
     return restarted.shuffled(tick.random).take(MAX_REPORTS).map { backend ->
         RestartReport(
@@ -245,7 +248,9 @@
     }
 }
 
-private fun hasRestartNews(backend: Backend, nowMs: Long): Boolean {
+/** News of a restart, except for connections that were refused on a path of this VM alone. */
+private fun hasRestartNews(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean {
+    if (backend.doubt != null && isStranded(world, backend.record.service, nowMs)) return false
     val isProvenCold = backend.doubt == null &&
         nowMs < backend.life.coldUntilMs &&
         nowMs - backend.provenMs < REPORT_MS
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -83,7 +83,7 @@
     private fun onNotWritten(world: GatewayWorld, tick: GatewayTick, event: SendNotWritten) {
         val send = world.sends.remove(event.send) ?: return
         releaseServer(world, send)
-        if (event.reason == NotWrittenReason.CONNECT_FAILED) backOff(world, tick, send)
+        if (event.reason == NotWrittenReason.CONNECT_FAILED) backOffFromPeer(world, tick, send)
         val call = world.calls[send.call] ?: return
         tick.journal.count(Counter.RETRIES, event.reason.name.lowercase())
         logEnd(tick, call, send, event.reason)
@@ -100,21 +100,9 @@
         placer.place(world, tick, call)
     }
 
-    private fun backOff(world: GatewayWorld, tick: GatewayTick, send: Send) {
-        when (val place = send.place) {
-            is SendPlace.AtPeer ->
-                world.peers[place.vm]?.unreachableUntilMs = tick.nowMs + INITIAL_BACK_OFF_MS
-            is SendPlace.AtServer -> {
-                val backend = world.backends[place.server] ?: return
-                val shift = backend.life.connectFailures.coerceAtMost(MAX_DOUBLINGS)
-                backend.life.connectFailures++
-                backend.life.unreachableUntilMs = tick.nowMs + (INITIAL_BACK_OFF_MS shl shift)
-                tick.journal.log(
-                    LogEvent.BACKEND_UNREACHABLE,
-                    mapOf("server" to backend.id, "failures" to backend.life.connectFailures),
-                )
-            }
-        }
+    private fun backOffFromPeer(world: GatewayWorld, tick: GatewayTick, send: Send) {
+        val place = send.place as? SendPlace.AtPeer ?: return
+        world.peers[place.vm]?.unreachableUntilMs = tick.nowMs + PEER_BACK_OFF_MS
     }
 
     private fun onEnded(world: GatewayWorld, tick: GatewayTick, event: SendEnded) {
@@ -273,7 +261,7 @@
             ) {
                 return requestHealthCheck(world, tick, backend)
             }
-            markSilent(tick, backend)
+            losePath(world, tick, backend, LogEvent.BACKEND_SILENT)
         }
         if (!call.route.isRepeatable) return
         placer.startReplacement(
@@ -312,18 +300,6 @@
         logEnd(tick, call, send, "quiet for ${event.idleMs} ms")
     }
 
-    private fun markSilent(tick: GatewayTick, backend: Backend) {
-        if (tick.nowMs < backend.life.unreachableUntilMs) return
-        backend.life.unreachableUntilMs = tick.nowMs + INITIAL_BACK_OFF_MS
-        tick.emit(CloseIdleConnections(backend.id))
-        val heardMs = backend.life.lastHeardMs.takeIf { it != NEVER_MS }
-        val details = mapOf(
-            "server" to backend.id,
-            "silentMs" to heardMs?.let { tick.nowMs - it },
-        )
-        tick.journal.log(LogEvent.BACKEND_SILENT, details)
-    }
-
     /**
      * How long a server that is alive may be silent. Another server would process the prompt of
      * [call] from its start, so a call with a prompt is moved only after a silence as long as its
@@ -341,7 +317,6 @@
             is SendOutcome.Broken -> 1.0
             is SendOutcome.NotRun, SendOutcome.Cancelled -> return
         }
-        if (failure == 0.0) backend.life.connectFailures = 0
         backend.life.failureRate += FAILURE_WEIGHT * (failure - backend.life.failureRate)
     }
 
@@ -422,9 +397,8 @@
         const val CALL_TIME_WEIGHT = 0.05
         const val FAILURE_WEIGHT = 0.15
 
-        /** Back-off after the first failed connection; it doubles up to [MAX_DOUBLINGS] times. */
-        const val INITIAL_BACK_OFF_MS = 500L
-        const val MAX_DOUBLINGS = 3
+        /** Time for which a peer gets no calls after a failed connection. */
+        const val PEER_BACK_OFF_MS = 500L
 
         /** A server that this process has not heard from for this long gets a health check. */
         const val SILENCE_TIMEOUT_MS = 1_000L
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLife.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLife.kt
@@ -40,8 +40,6 @@
      */
     var lastHealthCheckMs = NEVER_MS
     var lastHealthTimeoutMs = NEVER_MS
-    var unreachableUntilMs = 0L
-    var connectFailures = 0
 
     /**
      * Time at which this process saw the server start to drain; null when it does not drain or was
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServiceSummary.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServiceSummary.kt
@@ -38,6 +38,7 @@
         eventGapMs = typical?.first?.life?.gapEstimator?.gapMs(nowMs)?.toFloat() ?: 0f,
         meanWaitMs = meanMs(waits) ?: UNKNOWN_WAIT_MS,
         urgentWaitMs = lowerQuartile(urgentWaits)?.second?.toLong() ?: UNKNOWN_WAIT_MS,
+        reachedSlots = reachedSlots(world, service, nowMs),
     )
 }
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/StreamBinding.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/StreamBinding.kt
@@ -43,10 +43,21 @@
 private fun isOfVersion(backend: Backend, version: SoftwareVersion) =
     backend.life.version == version && backend.doubt == null
 
-/** Whether [region] has a server that may serve [call]. */
+/**
+ * Whether [region] has a server that may serve [call]. The servers of this region are judged by their
+ * entries, since a VM that relays within it does not reach them; the receiver decides.
+ */
 internal fun hasServerFor(world: GatewayWorld, call: Call, region: RegionId): Boolean =
     call.binding == StreamBinding.Free ||
-        world.backends.any { mayServe(call, it) && world.regionOf(it.record.domain) == region }
+        world.backends.any { backend ->
+            world.regionOf(backend.record.domain) == region &&
+                if (region == world.self.region) {
+                    backend.record.service == call.service &&
+                        backend.record.version == call.requiredVersion
+                } else {
+                    mayServe(call, backend)
+                }
+        }
 
 /**
  * Returns the version of the server that sent the first event of [send], or null if it is not known
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
@@ -43,7 +43,7 @@
     !backend.life.isReplaced &&
         backend.doubt?.isRefused != true &&
         !backend.isHealthCheckPending &&
-        nowMs >= backend.life.unreachableUntilMs &&
+        backend.unreachedSinceMs == null &&
         backend.record.domain !in world.process.view?.evacuated.orEmpty() &&
         world.regionOf(backend.record.domain) == world.self.region
 
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/SendSystemTest.kt
@@ -235,7 +235,7 @@
         (checked + again + after).expectNoChangeOfSends()
         expectThat((checked + again + after).all<CheckHealth>()).hasSize(1)
         expectThat((checked + again + after).all<CloseIdleConnections>()).isEmpty()
-        expectThat(gateway.world.backends[server]?.life?.unreachableUntilMs).isEqualTo(0)
+        expectThat(gateway.world.backends[server]?.unreachedSinceMs).isNull()
     }
 
     @Test
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
@@ -20,6 +20,10 @@
 /** Time between the beginning of an answer and the crash of an engine on a deadly part. */
 private const val CRASH_DELAY_MS = 60L
 
+/** Time after which keep-alive ends a connection to a silent host. */
+private const val KEEP_ALIVE_MS = 3_000L
+private const val HEALTH_TIMEOUT_MS = 400L
+
 /** Time that a crashed engine needs to start again. */
 private const val RESTART_MS = 3_000L
 
@@ -38,6 +42,18 @@
     var firstEventAtMs: Long? = null
 }
 
+/** What becomes of the connections of a process that is cut off from all engines. */
+enum class EngineCut {
+    /** Nothing comes through: new connections time out, and open ones end by keep-alive. */
+    SILENT,
+
+    /** New connections are refused, and open ones are reset. */
+    REFUSED,
+
+    /** New connections are refused, but open ones live on. */
+    ONLY_NEW_REFUSED,
+}
+
 /** Arrival of a call that began [lateMs] after [vm], which sent it, knew that the engine leaves. */
 internal class ArrivalAfterLeaving(val vm: VmId, val lateMs: Long)
 
@@ -120,6 +136,9 @@
     private val regions = listOf(NORTH, SOUTH, EAST)
     private val isolatedRegions = HashSet<RegionId>()
     private val isolatedVms = HashSet<VmId>()
+
+    /** Processes that are cut off from all engines, but from nobody else. */
+    private val engineCuts = HashMap<VmId, EngineCut>()
     private val scheduled = PriorityQueue<Action>(compareBy<Action> { it.atMs }.thenBy { it.order })
     private var nextOrder = 0L
     private var nextCall = 0L
@@ -150,6 +169,10 @@
     var rejectedShare = 0.0
     private val rejections = Random(1)
 
+    /** Number of calls that processes handed to each other. */
+    var relays = 0
+        private set
+
     /** Times at which callers sent requests, and at which each request reached an engine. */
     val requestTimesMs = ArrayList<Long>()
     val arrivalTimesMs = LinkedHashMap<RequestId, ArrayList<Long>>()
@@ -255,6 +278,26 @@
         isolatedVms += vmOf(region, index).identity.vm
     }
 
+    /** Cuts process [index] of [region] off from all engines from now on. */
+    fun cutFromEngines(region: RegionId, index: Int, cut: EngineCut) {
+        val vm = vmOf(region, index)
+        engineCuts[vm.identity.vm] = cut
+        if (cut == EngineCut.ONLY_NEW_REFUSED) return
+        val lostAtMs = if (cut == EngineCut.SILENT) nowMs + KEEP_ALIVE_MS else nowMs
+        for (engine in engines) {
+            val lost = engine.runs.values.filter { it.key.vm == vm.identity.vm }
+            lost.forEach { engine.runs.remove(it.key) }
+            schedule(lostAtMs) {
+                vm.inbox += lost.map(::lostSend)
+                val wasConnected = connections.remove(vm.identity.vm to engine.id)
+                if (wasConnected && keepsConnections) vm.inbox += IdleConnectionLost(engine.id)
+            }
+        }
+    }
+
+    /** Ends all cuts between processes and engines. */
+    fun reconnectToEngines() = engineCuts.clear()
+
     /** Removes the entry of [engine] and the engine, as when a server has left. */
     fun remove(engine: TestEngine) {
         engine.upAtMs = Long.MAX_VALUE
@@ -407,6 +450,19 @@
 
     private fun checkHealth(vm: Vm, command: CheckHealth) {
         val engine = byEngine.getValue(command.server)
+        val cut = engineCuts[vm.identity.vm]
+        if (cut == EngineCut.SILENT || cut == EngineCut.REFUSED) {
+            val failed = HealthChecked(
+                server = command.server,
+                isHealthy = false,
+                coldForMs = null,
+                load = null,
+                isRefused = cut == EngineCut.REFUSED,
+                askedMs = command.askedMs,
+            )
+            val delayMs = if (cut == EngineCut.SILENT) HEALTH_TIMEOUT_MS else LOCAL_DELAY_MS
+            return schedule(nowMs + delayMs) { vm.inbox += failed }
+        }
         val isUp = engine.isUp(nowMs)
         val coldForMs = if (isUp) engine.coldForMs(nowMs) else null
         val checked = HealthChecked(
@@ -426,6 +482,7 @@
         when (val target = start.target) {
             is SendTarget.Peer -> {
                 val peer = checkNotNull(byVm[target.vm])
+                relays++
                 val origin = CallOrigin.Peer(
                     vm.identity.vm,
                     target.catalogVersion,
@@ -444,7 +501,18 @@
             is SendTarget.Server -> {
                 val engine = checkNotNull(byEngine[target.id])
                 check(engine.region == vm.identity.region) { "engines serve their own region" }
-                if (engine.isUp(nowMs)) {
+                val cut = engineCuts[vm.identity.vm]
+                val isCut = when (cut) {
+                    null -> false
+                    EngineCut.SILENT, EngineCut.REFUSED -> true
+                    EngineCut.ONLY_NEW_REFUSED ->
+                        engine.runs.keys.any { it.vm == vm.identity.vm } ||
+                            vm.identity.vm to engine.id !in connections
+                }
+                if (cut == EngineCut.SILENT) {
+                    val failed = SendNotWritten(start.send, NotWrittenReason.CONNECT_FAILED)
+                    schedule(nowMs + start.connectTimeoutMs) { vm.inbox += failed }
+                } else if (engine.isUp(nowMs) && !isCut) {
                     arrive(vm, start, engine, spec)
                 } else {
                     val reason = NotWrittenReason.CONNECT_FAILED
@@ -564,7 +632,9 @@
         val (origin, send) = relay
         val toldVersion = (start.target as? SendTarget.Server)?.version
         deliver(vm, origin) {
-            val relayed = start.copy(send = send, call = checkNotNull(callOf(origin, send)))
+            // The process that relayed the call may have started anew.
+            val relayedCall = callOf(origin, send) ?: return@deliver
+            val relayed = start.copy(send = send, call = relayedCall)
             val passedOn = AnswerStarted(send, null, peerVersion = toldVersion)
             reportAnswerStarted(origin, relayed, passedOn, version)
         }
