Send brittle servers no more than they can run

Engines that say that they are brittle fell over under bursts, since nothing read their word and all VMs sent to the last free place (LIMIT). Each VM now keeps to its share of the slots of a brittle server, uses more while most are free, and pauses after a rejection. The word of one server counts for its service and goes to all VMs by datagram.

--- a/decisions/src/main/kotlin/org/pomeloladder/decisions/LogEvent.kt
+++ b/decisions/src/main/kotlin/org/pomeloladder/decisions/LogEvent.kt
@@ -63,6 +63,7 @@
     BACKEND_SAID_LEAVING(421, Severity.INFO, "backend server said that it leaves"),
     BACKEND_HEADER_UNREADABLE(422, Severity.WARN, "header of a backend server ignored"),
     STREAM_TAKEN_UP(423, Severity.INFO, "caller took up a stream"),
+    SERVICE_BRITTLE(424, Severity.WARN, "service became brittle or ended being so"),
     ORDER_UNKNOWN(500, Severity.WARN, "outcome of an order is unknown"),
     ORDER_WITHDRAWN(501, Severity.INFO, "order withdrawn before dispatch"),
     ENGINE_ORDER_SENT(600, Severity.INFO, "engine order sent"),
--- /dev/null
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/BrittleSystem.kt
@@ -0,0 +1,130 @@
+/*
+ * Spares brittle backend servers. The servers of a service may say that they fall over when they
+ * have to turn away more than some requests a second for want of room. How much room one has is
+ * known to no VM at the moment it sends, so nothing is sent that might have to wait there: each VM
+ * keeps to its share of the places where work is done, and uses more of them only while most are
+ * free. The word of one server counts for its whole service, and is passed on to all VMs.
+ */
+package org.pomeloladder.gateway
+
+import org.pomeloladder.configuration.ServiceId
+import org.pomeloladder.decisions.LogEvent
+
+/** All answers of brittle servers say so; after this time without such an answer it has ended. */
+private const val BRITTLE_VALID_MS = 3_000L
+
+/**
+ * Part of a server's slots up to which VMs may exceed their shares, less the calls that each VM may
+ * send before the others hear of them.
+ */
+private const val BORROWED_PART = 0.75
+private const val UNHEARD_CALLS_PER_VM = 2
+
+/** Pause after a rejection, in which those that wait at the server are served. */
+private const val MIN_FULL_MS = 800L
+private const val MAX_FULL_MS = 1_600L
+
+/** What the servers of one service have said of how brittle they are. */
+class Brittleness {
+    /** Requests a second that a server can turn away. */
+    var rejectionsPerS = 0.0
+        private set
+
+    /** Time of the latest answer that said so, here or at another VM. */
+    var saidMs = NEVER_MS
+        private set
+
+    /** Takes over what an answer said at [atMs], unless it is no rate at all. */
+    fun observe(rejectionsPerS: Double, atMs: Long) {
+        if (!rejectionsPerS.isFinite() || rejectionsPerS < 0 || atMs <= saidMs) return
+        this.rejectionsPerS = rejectionsPerS
+        saidMs = atMs
+    }
+
+    fun isInForce(nowMs: Long): Boolean = nowMs - saidMs < BRITTLE_VALID_MS
+}
+
+/** Records which services are brittle, and which of their servers are full. */
+class BrittleSystem : GatewaySystem {
+    private val brittleServices = HashSet<ServiceId>()
+
+    override fun run(world: GatewayWorld, tick: GatewayTick) {
+        for (event in tick.events) {
+            when (event) {
+                is ServerActivity -> event.brittle.forEach { (id, rejectionsPerS) ->
+                    val service = world.backends[id]?.record?.service
+                    service?.let { observe(world, it, rejectionsPerS, tick.nowMs) }
+                }
+                is GossipReceived -> event.message.brittle.forEach { report ->
+                    val atMs = tick.nowMs - report.ageMs.coerceAtLeast(0)
+                    observe(world, report.service, report.rejectionsPerS, atMs)
+                }
+                is SendEnded -> onEnded(world, tick, event)
+                else -> Unit
+            }
+        }
+        logChanges(world, tick)
+    }
+
+    private fun observe(
+        world: GatewayWorld,
+        service: ServiceId,
+        rejectionsPerS: Double,
+        atMs: Long,
+    ) {
+        val brittleness = world.service(service).brittleness
+        if (!brittleness.isInForce(atMs)) world.process.evidenceVersion++
+        brittleness.observe(rejectionsPerS, atMs)
+    }
+
+    private fun onEnded(world: GatewayWorld, tick: GatewayTick, event: SendEnded) {
+        val outcome = event.outcome as? SendOutcome.NotRun ?: return
+        if (outcome.reason != NotRunReason.FULL) return
+        val place = world.sends[event.send]?.place as? SendPlace.AtServer ?: return
+        // VMs that were all turned away at once must not return at once.
+        val pauseMs = tick.random.nextLong(MIN_FULL_MS, MAX_FULL_MS)
+        world.backends[place.server]?.life?.fullUntilMs = tick.nowMs + pauseMs
+    }
+
+    private fun logChanges(world: GatewayWorld, tick: GatewayTick) {
+        for (state in world.services) {
+            val isBrittle = state.brittleness.isInForce(tick.nowMs)
+            if (isBrittle == state.id in brittleServices) continue
+            if (isBrittle) brittleServices += state.id else brittleServices -= state.id
+            val details = mapOf(
+                "service" to state.id,
+                "isBrittle" to isBrittle,
+                "rejectionsPerS" to state.brittleness.rejectionsPerS,
+            )
+            tick.journal.log(LogEvent.SERVICE_BRITTLE, details)
+        }
+    }
+}
+
+/**
+ * Whether [backend] has room for one more call of this VM without turning any away, if its service is
+ * brittle. The shares of all VMs of the region add up to no more than the slots.
+ */
+internal fun hasBrittleRoom(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean {
+    if (!world.service(backend.record.service).brittleness.isInForce(nowMs)) return true
+    val report = backend.life.freshReport(nowMs)
+    val isWaiting = report != null && report.waiting > 0
+    if (nowMs < backend.life.fullUntilMs || isWaiting) return false
+    val vmCount = sharingVmCount(world, nowMs)
+    val unheardCalls = vmCount * UNHEARD_CALLS_PER_VM
+    if (backend.load + unheardCalls <= backend.record.slots * BORROWED_PART) return true
+    return backend.inFlight < slotShare(world, backend, vmCount, nowMs)
+}
+
+/** Returns the slots of [backend] that this VM, one of [vmCount], may use whatever the others do. */
+private fun slotShare(world: GatewayWorld, backend: Backend, vmCount: Int, nowMs: Long): Int {
+    val slots = backend.record.slots
+    if (vmCount <= slots) return slots / vmCount
+    return if (knowsRegion(world, nowMs) && isAmongSenders(world, backend, slots)) 1 else 0
+}
+
+/** Returns what datagrams tell of services that are brittle. */
+internal fun brittleReports(world: GatewayWorld, nowMs: Long): List<BrittleReport> =
+    world.services.filter { it.brittleness.isInForce(nowMs) }.map {
+        BrittleReport(it.id, it.brittleness.rejectionsPerS, nowMs - it.brittleness.saidMs)
+    }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Entities.kt
@@ -252,6 +252,8 @@
     var msPerPromptToken = INITIAL_MS_PER_PROMPT_TOKEN
     var meanCallMs = 0.0
 
+    val brittleness = Brittleness()
+
     /** Limits retries by the calls and extra arrivals of this process within a sliding window. */
     val retryBudget = RetryBudget()
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayEvent.kt
@@ -178,11 +178,13 @@
 
 /**
  * Backend servers that sent bytes since the last report, and the times between the events of their
- * streams.
+ * streams. [brittle] holds those that said that they fall over when they have to turn away more than
+ * so many requests a second.
  */
 data class ServerActivity(
     val servers: Set<BackendServerId>,
     val gaps: Map<BackendServerId, EventGaps> = emptyMap(),
+    val brittle: Map<BackendServerId, Double> = emptyMap(),
 ) : GatewayEvent
 
 /**
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewaySystems.kt
@@ -28,6 +28,7 @@
         LeavingSystem(),
         ServerSystem(),
         PathSystem(),
+        BrittleSystem(),
         QuarantineSystem(placer, quarantine),
         ProofWaitSystem(placer),
         PeerSystem(self, placement),
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GossipMessage.kt
@@ -79,6 +79,14 @@
     @SerialName("c") val ageMs: Long,
 )
 
+/** The servers of [service] have said, [ageMs] before the datagram was sent, that they are brittle. */
+@Serializable
+data class BrittleReport(
+    @SerialName("a") val service: ServiceId,
+    @SerialName("b") val rejectionsPerS: Double,
+    @SerialName("c") val ageMs: Long,
+)
+
 /**
  * What the sender knows of a restart of [server]: the time since a connection was refused, the time
  * since a health check then showed that it runs, or null if none did, and how long it is still cold.
@@ -155,6 +163,7 @@
     @SerialName("p") val era: PlatformEra = PlatformEra.UNKNOWN,
     @SerialName("q") val catalogEra: PlatformEra = PlatformEra.UNKNOWN,
     @SerialName("r") val leaving: List<LeavingReport> = emptyList(),
+    @SerialName("s") val brittle: List<BrittleReport> = emptyList(),
 )
 
 /** A VM that the sender considers live, listed for peers that do not know it yet. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PartOwners.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PartOwners.kt
@@ -69,7 +69,8 @@
     return when (region) {
         world.self.region -> call.allowsRegion(region) &&
             (isUsable(world, backend, nowMs) || isReachedByNeighbour) &&
-            hasLimitCapacity(world, backend, nowMs)
+            hasLimitCapacity(world, backend, nowMs) &&
+            hasBrittleRoom(world, backend, nowMs)
         else -> region in reachableRegions
     }
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PeerSystem.kt
@@ -348,6 +348,7 @@
             limits = if (isLocal) limitReports(world, tick.nowMs) else emptyList(),
             restarts = if (isLocal) restartReports(world, tick) else emptyList(),
             leaving = if (isLocal) leavingReports(world, tick) else emptyList(),
+            brittle = brittleReports(world, tick.nowMs),
         )
     }
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -83,7 +83,8 @@
             mayServe(call, it) &&
                 isCandidate(world, it, nowMs) &&
                 hasColdCapacity(world, it, nowMs) &&
-                hasLimitCapacity(world, it, nowMs, isModest = !hasOwners(call))
+                hasLimitCapacity(world, it, nowMs, isModest = !hasOwners(call)) &&
+                hasBrittleRoom(world, it, nowMs)
         }
         if (usable.isEmpty()) return null
         val ranked = call.spec.prompt?.sharedParts?.lastOrNull()?.let { part ->
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLife.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLife.kt
@@ -29,6 +29,9 @@
 
     val limit = ServerLimit()
 
+    /** Time until which the server gets nothing after a rejection, if it is brittle. */
+    var fullUntilMs = NEVER_MS
+
     /** Moving average of the failures that this process observed, from 0 to 1. */
     var failureRate = 0.0
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServiceSummary.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServiceSummary.kt
@@ -24,7 +24,8 @@
         it.record.service == service &&
             isUsable(world, it, nowMs) &&
             !mayBeCold(it, nowMs) &&
-            hasLimitCapacity(world, it, nowMs, isModest = true)
+            hasLimitCapacity(world, it, nowMs, isModest = true) &&
+            hasBrittleRoom(world, it, nowMs)
     }
     val urgentPriority = world.catalog?.mostUrgentPriority(service) ?: 0
     val waits = typicalWaits(world, usable, Int.MAX_VALUE, nowMs)
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/GatewayTraffic.kt
@@ -111,6 +111,7 @@
     private val callerListeners = ArrayList<Channel>()
     private val activeServers = HashSet<BackendServerId>()
     private val eventGaps = HashMap<BackendServerId, EventGaps>()
+    private val brittleServers = HashMap<BackendServerId, Double>()
     private val gossip = GossipChannel(loop, addresses.gossip, ::onGossip, onMalformedMessage)
     private lateinit var events: EventSinkOf<GatewayEvent>
     private var lastCall = 0L
@@ -424,6 +425,7 @@
         // A peer passes on the head of a server of its own region, which this process never calls.
         if (target !is SendTarget.Server || head.isWrongInstance) return
         head.unreadableHeader?.let { events.post(HeaderUnreadable(target.id, it)) }
+        head.brittlePerS?.let { brittleServers[target.id] = it }
         if (!head.isLeaving) return
         val requestAgeMs = (System.nanoTime() - send.requestNanos) / NANOS_PER_MS
         events.post(LeavingAnnounced(target.id, requestAgeMs))
@@ -561,9 +563,15 @@
         val nowNanos = System.nanoTime()
         reportDelay(SystemMonotonicClock.nowMs())
         if (activeServers.isNotEmpty()) {
-            events.post(ServerActivity(activeServers.toSet(), eventGaps.toMap()))
+            val activity = ServerActivity(
+                servers = activeServers.toSet(),
+                gaps = eventGaps.toMap(),
+                brittle = brittleServers.toMap(),
+            )
+            events.post(activity)
             activeServers.clear()
             eventGaps.clear()
+            brittleServers.clear()
         }
         for (send in sends.values) {
             val idleMs = send.idleMs(nowNanos)
--- a/gateway/src/main/kotlin/org/pomeloladder/traffic/WireFormat.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/traffic/WireFormat.kt
@@ -25,6 +25,8 @@
     val load: LoadReport?,
     /** Requests a second that the server takes from all processes, if it names a limit. */
     val limitPerS: Double? = null,
+    /** Requests a second that the server can turn away without falling over, if it names them. */
+    val brittlePerS: Double? = null,
     /** Whether the server says that it leaves. */
     val isLeaving: Boolean = false,
     /** A header that can't be read, with its value, if there is one. */
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
@@ -20,6 +20,8 @@
 /** Time between the beginning of an answer and the crash of an engine on a deadly part. */
 private const val CRASH_DELAY_MS = 60L
 
+private const val MS_PER_S = 1_000L
+
 /** Time after which keep-alive ends a connection to a silent host. */
 private const val KEEP_ALIVE_MS = 3_000L
 private const val HEALTH_TIMEOUT_MS = 400L
@@ -77,6 +79,20 @@
     var limitPerS: Double? = null
     val arrivalTimesMs = ArrayList<Long>()
 
+    /** Calls that run or wait at the engine at most; it rejects more of them. */
+    var places = Int.MAX_VALUE
+
+    /** The rejections a second beyond which the engine says that it falls over, and does. */
+    var brittlePerS: Double? = null
+    private val rejectionTimesMs = ArrayList<Long>()
+
+    /** Counts a rejection, and returns whether the engine falls over by it. */
+    fun reject(nowMs: Long): Boolean {
+        rejectionTimesMs += nowMs
+        val recent = rejectionTimesMs.count { it > nowMs - MS_PER_S }
+        return recent > (brittlePerS ?: return false)
+    }
+
     /**
      * Whether the engine says in its answers that it leaves, the time at which it first told each
      * process in an answer to a call, and the calls that reached it after that.
@@ -177,6 +193,9 @@
     val requestTimesMs = ArrayList<Long>()
     val arrivalTimesMs = LinkedHashMap<RequestId, ArrayList<Long>>()
 
+    /** Slots of each engine by its entry. */
+    var engineSlots = 64
+
     /** Time from the first event of an answer to its end. */
     var answerMs = 1L
 
@@ -231,7 +250,7 @@
     private fun engineRecord(engine: TestEngine, starts: Long, coldForMs: Long) =
         server(engine.id.value, publishedService, engine.region) {
             it.copy(
-                slots = 64,
+                slots = engineSlots,
                 startedAtUnixMs = starts,
                 coldForMs = coldForMs,
                 version = engine.version,
@@ -531,9 +550,12 @@
             val lateMs = arrivedMs.getValue(spec.requestId) - toldMs
             engine.arrivalsAfterLeaving += ArrivalAfterLeaving(vm.identity.vm, lateMs)
         }
-        if (rejections.nextDouble() >= rejectedShare) {
+        tellBrittle(vm, engine)
+        val isFull = engine.runs.size >= engine.places
+        if (!isFull && rejections.nextDouble() >= rejectedShare) {
             return run(vm, start, engine, checkNotNull(spec.prompt))
         }
+        if (engine.reject(nowMs)) crash(engine)
         val notRun = SendOutcome.NotRun(NotRunReason.FULL)
         val ended = SendEnded(start.send, notRun, null, limitPerS = engine.limitPerS)
         schedule(nowMs + LOCAL_DELAY_MS) {
@@ -542,6 +564,14 @@
         }
     }
 
+    /** Lets the answer of [engine] to a call that arrives now say that it is brittle, if it is. */
+    private fun tellBrittle(vm: Vm, engine: TestEngine) {
+        val rejectionsPerS = engine.brittlePerS ?: return
+        val activity =
+            ServerActivity(setOf(engine.id), brittle = mapOf(engine.id to rejectionsPerS))
+        schedule(nowMs + LOCAL_DELAY_MS) { vm.inbox += activity }
+    }
+
     /** Lets an answer of [engine] to a call from [startedMs] on say that it leaves, if it does. */
     private fun tellLeaving(vm: Vm, engine: TestEngine, startedMs: Long) {
         if (!engine.isLeaving) return
