Reject the take-up of a stream whose version its own VM could not tell

A VM that knew a stream, but not its version, believed the proof of an only version by other VMs that knew nothing of it, and went on with the stream at any server of that version (ORDER). What the VM itself knows now counts like the word of another one. The test failed before: the take-up was sent.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/StreamOriginSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/StreamOriginSystem.kt
@@ -216,8 +216,9 @@
         val known = lookup.answers.filter { it.isKnown }
         known.firstNotNullOfOrNull { it.version }?.let { return StreamBinding.Bound(it) }
         if (lookup.asked.isNotEmpty() && nowMs < lookup.untilMs) return null
+        val isKnown = known.isNotEmpty() || world.streams.knows(lookup.request)
         val isMixed = world.streams.isMixed(world, call.service, nowMs)
-        if (known.isNotEmpty() || isMixed || lookup.answers.any { it.isMixed }) {
+        if (isKnown || isMixed || lookup.answers.any { it.isMixed }) {
             return StreamBinding.Unknown
         }
         val own = world.streams.soleVersion(world, call.service, nowMs)
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/JoinedStreamsTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/JoinedStreamsTest.kt
@@ -172,6 +172,21 @@
         expectThat(fleet.streams.joined()).isEmpty()
     }
 
+    // Guards against a VM that knows of a stream without its version, and believes others that know
+    // nothing of it.
+    @Test
+    fun `a stream whose version its own VM could not tell is not continued`() {
+        start()
+        val request = RequestId("begun-in-doubt")
+        fleet.knowWithoutVersion(NORTH, 0, StreamOrigin(request, MODEL, version = null))
+        val begun = call(NORTH)
+        fleet.run(100)
+        val takeUp = fleet.call(NORTH, 0, brief, prompt(), resumes = begun, named = request)
+        fleet.run(600)
+
+        expectThat(fleet.refusals[takeUp]).isEqualTo(CallRefusal.VERSION_UNKNOWN)
+    }
+
     // Guards against rejections that wait for the deadline of their callers.
     @Test
     fun `a take-up of an unknown stream is rejected at once`() {
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
@@ -297,6 +297,11 @@
         isolatedVms += vmOf(region, index).identity.vm
     }
 
+    /** Lets process [index] of [region] alone know [origin], whose version it could not tell. */
+    fun knowWithoutVersion(region: RegionId, index: Int, origin: StreamOrigin) {
+        vmOf(region, index).gateway.world.streams.put(origin, nowMs).isTold = true
+    }
+
     /** Cuts process [index] of [region] off from all engines from now on. */
     fun cutFromEngines(region: RegionId, index: Int, cut: EngineCut) {
         val vm = vmOf(region, index)
@@ -363,7 +368,7 @@
 
     /**
      * Sends a call to process [vm] of [region], modulo the number of processes there, and returns
-     * its request.
+     * its request. It goes on with the stream of [resumes], which its caller calls [named].
      */
     fun call(
         region: RegionId,
@@ -371,6 +376,7 @@
         route: Route,
         prompt: Prompt,
         resumes: RequestId? = null,
+        named: RequestId? = resumes,
     ): RequestId {
         val entry = vmOf(region, vm)
         val id = RequestId("request-${++nextCall}")
@@ -386,7 +392,7 @@
                 budgetMs = route.timeoutMs,
                 prompt = prompt,
                 resumeAfter = resumes?.let { 1 },
-                resumedRequest = resumes,
+                resumedRequest = named,
             ),
         )
         streams.add(id, resumes)
