Prove an only version by answers that came after the take-up

Now another VM has to answer from each region that has any.

Evidence: JoinedStreamsTest, a VM that hears from nobody and a region that hears neither from others nor from the store; streams were joined in both before, none after. The tests of streams that go on after kills still pass.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/StreamOriginSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/StreamOriginSystem.kt
@@ -32,6 +32,9 @@
 /** Tells and asks other VMs about the versions of streams, and lets calls wait for the answers. */
 class StreamOriginSystem(private val placer: CallPlacer) : GatewaySystem {
     private var lastScanMs = NEVER_MS
+
+    /** Regions in which another VM has ever been heard of. */
+    private val regionsOfOthers = HashSet<RegionId>()
     private var scannedViewVersion = -1L
 
     /** Services of which this process knew the only version when it last looked. */
@@ -52,6 +55,7 @@
         if (!isViewNew && tick.nowMs - lastScanMs < SCAN_INTERVAL_MS) return
         scannedViewVersion = world.process.viewVersion
         lastScanMs = tick.nowMs
+        world.peers.forEach { regionsOfOthers += it.identity.region }
         val view = world.process.view ?: return
         if (world.process.isPlatformReachable) streams.startWatch(view.position, tick.nowMs)
         world.backends.forEach {
@@ -111,8 +115,11 @@
 
     private fun addAnswer(streams: StreamOrigins, from: VmId, answer: OriginAnswer) {
         for (lookup in streams.lookups.values) {
-            if (lookup.request == answer.request && lookup.asked.remove(from)) {
+            val region = lookup.asked[from]
+            if (lookup.request == answer.request && region != null) {
+                lookup.asked -= from
                 lookup.answers += answer
+                lookup.answeredRegions += region
             }
         }
     }
@@ -217,10 +224,11 @@
         known.firstNotNullOfOrNull { it.version }?.let { return StreamBinding.Bound(it) }
         if (lookup.asked.isNotEmpty() && nowMs < lookup.untilMs) return null
         val isKnown = known.isNotEmpty() || world.streams.knows(lookup.request)
-        val isMixed = world.streams.isMixed(world, call.service, nowMs)
-        if (isKnown || isMixed || lookup.answers.any { it.isMixed }) {
-            return StreamBinding.Unknown
-        }
+        val isMixed = world.streams.isMixed(world, call.service, nowMs) ||
+            lookup.answers.any { it.isMixed }
+        // A VM that is cut off or stood still can't know which versions have joined since.
+        val isInStep = lookup.answeredRegions.containsAll(regionsOfOthers)
+        if (isKnown || isMixed || !isInStep) return StreamBinding.Unknown
         val own = world.streams.soleVersion(world, call.service, nowMs)
         val soleVersions = (lookup.answers.map { it.version } + own).filterNotNull().toSet()
         return StreamBinding.of(soleVersions.singleOrNull())
@@ -245,18 +253,14 @@
         return true
     }
     if (!isTakeUp(call.spec)) return true
-    val request = call.spec.resumedRequest
-    if (request != null && world.streams.versionOf(request) == null) {
+    // A caller that does not name its stream can only be served by what holds for all streams.
+    val request = call.spec.resumedRequest ?: call.spec.requestId
+    val version = world.streams.versionOf(request)
+    if (version == null) {
         lookUp(world, tick, call, OriginQuery(request, call.service))
         return false
     }
-    // A caller that does not name its stream can only be served by what holds for all streams.
-    val version = if (request != null) {
-        world.streams.versionOf(request)
-    } else {
-        world.streams.soleVersion(world, call.service, tick.nowMs)
-    }
-    call.binding = StreamBinding.of(version)
+    call.binding = StreamBinding.Bound(version)
     logTakenUp(tick, call, call.binding, lookup = null)
     return true
 }
@@ -265,7 +269,7 @@
     val lookup = OriginLookup(call.id, query.request, tick.nowMs + LOOKUP_TIMEOUT_MS)
     val message = StreamMessage(world.self.vm, world.self.region, queries = listOf(query))
     for (peer in holders(world, query.request, world.regions.values.toSet())) {
-        lookup.asked += peer.vm
+        lookup.asked[peer.vm] = peer.identity.region
         tick.emit(SendStreamMessage(peer.identity.gossip, message))
     }
     world.streams.lookups[call.id] = lookup
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/StreamOrigins.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/StreamOrigins.kt
@@ -6,6 +6,7 @@
  */
 package org.pomeloladder.gateway
 
+import org.pomeloladder.configuration.RegionId
 import org.pomeloladder.configuration.ServiceId
 import org.pomeloladder.configuration.VmId
 import org.pomeloladder.decisions.RequestId
@@ -26,9 +27,10 @@
 
 /** A take-up that waits for what other VMs know of its stream. */
 class OriginLookup(val call: CallId, val request: RequestId, val untilMs: Long) {
-    /** VMs that have not answered yet. */
-    val asked = HashSet<VmId>()
+    /** VMs that have not answered yet, and their regions. */
+    val asked = HashMap<VmId, RegionId>()
     val answers = ArrayList<OriginAnswer>()
+    val answeredRegions = HashSet<RegionId>()
 }
 
 /** The tables of streams and versions of one process. */
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/JoinedStreamsTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/JoinedStreamsTest.kt
@@ -10,6 +10,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isNotEmpty
 
 /**
  * Streams that break off while two versions of a back end are in service, and callers that take them
@@ -172,6 +173,33 @@
         expectThat(fleet.streams.joined()).isEmpty()
     }
 
+    /** What a VM that is out of step still hears from. */
+    enum class OutOfStep { NOBODY, REGION_WITHOUT_STORE }
+
+    // Guards against a VM that did not hear of a second version, since it was cut off while that one
+    // joined, and vouches for the first (ORDER).
+    @ParameterizedTest
+    @EnumSource
+    fun `a VM out of step does not go on with the streams of a version that joined`(
+        outOfStep: OutOfStep,
+    ) {
+        start()
+        if (outOfStep == OutOfStep.NOBODY) fleet.isolate(SOUTH, 0) else fleet.isolate(SOUTH)
+        (0..2).forEach { fleet.cutFromStore(SOUTH, it) }
+        fleet.engines.filter { it.region != SOUTH }.let { release(it, "v2") }
+        fleet.run(1_000)
+        val begun = List(10) { call(NORTH) }
+        fleet.run(400)
+        fleet.upEngines().filter { it.region != SOUTH }.forEach { fleet.crash(it) }
+        fleet.run(40)
+        val broken = begun.filter { it in fleet.streams.brokenOff }
+        broken.forEach { fleet.call(SOUTH, 0, brief, prompt(), resumes = it) }
+        fleet.run(1_000)
+
+        expectThat(broken).isNotEmpty()
+        expectThat(fleet.streams.joined()).isEmpty()
+    }
+
     // Guards against a VM that knows of a stream without its version, and believes others that know
     // nothing of it.
     @Test
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/TestFleet.kt
@@ -153,6 +153,8 @@
     private val isolatedRegions = HashSet<RegionId>()
     private val isolatedVms = HashSet<VmId>()
 
+    private val vmsWithoutStore = HashSet<VmId>()
+
     /** Processes that are cut off from all engines, but from nobody else. */
     private val engineCuts = HashMap<VmId, EngineCut>()
     private val scheduled = PriorityQueue<Action>(compareBy<Action> { it.atMs }.thenBy { it.order })
@@ -259,7 +261,7 @@
 
     private fun publish(view: PublishedView) {
         publishedView = view
-        for (vm in vms) {
+        for (vm in vms.filter { it.identity.vm !in vmsWithoutStore }) {
             vm.inbox += PlatformReachability(isReachable = true)
             vm.inbox += ViewReceived(view, ViewSource.PLATFORM)
         }
@@ -302,6 +304,11 @@
         vmOf(region, index).gateway.world.streams.put(origin, nowMs).isTold = true
     }
 
+    /** Lets process [index] of [region] hear no more from the store, without noticing it. */
+    fun cutFromStore(region: RegionId, index: Int) {
+        vmsWithoutStore += vmOf(region, index).identity.vm
+    }
+
     /** Cuts process [index] of [region] off from all engines from now on. */
     fun cutFromEngines(region: RegionId, index: Int, cut: EngineCut) {
         val vm = vmOf(region, index)
