Let take-ups go on while a region is lost

An only version was proved by an answer from each region. With one region lost, the others would have rejected all take-ups of streams that they don't know, although a single version is in service (found by reading; the new test shows it). VMs of more than half of the regions are enough: one that is cut off doesn't hear from them.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/StreamOriginSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/StreamOriginSystem.kt
@@ -226,13 +226,26 @@
         val isKnown = known.isNotEmpty() || world.streams.knows(lookup.request)
         val isMixed = world.streams.isMixed(world, call.service, nowMs) ||
             lookup.answers.any { it.isMixed }
-        // A VM that is cut off or stood still can't know which versions have joined since.
-        val isInStep = lookup.answeredRegions.containsAll(regionsOfOthers)
-        if (isKnown || isMixed || !isInStep) return StreamBinding.Unknown
+        if (isKnown || isMixed || !isInStep(world, lookup)) return StreamBinding.Unknown
         val own = world.streams.soleVersion(world, call.service, nowMs)
         val soleVersions = (lookup.answers.map { it.version } + own).filterNotNull().toSet()
         return StreamBinding.of(soleVersions.singleOrNull())
     }
+
+    /**
+     * Whether more than half of the regions have answered [lookup]. A VM that is cut off, or has stood
+     * still, can't know which versions have joined since, while a region that is lost must not keep
+     * the others from going on.
+     */
+    private fun isInStep(world: GatewayWorld, lookup: OriginLookup): Boolean {
+        val self = world.self.region
+        val heard = if (self in regionsOfOthers) {
+            lookup.answeredRegions
+        } else {
+            lookup.answeredRegions + self
+        }
+        return heard.size * 2 > (regionsOfOthers + self).size
+    }
 }
 
 /** Whether the caller of [spec] has events of a stream and wants the rest. */
--- a/gateway/src/test/kotlin/org/pomeloladder/gateway/JoinedStreamsTest.kt
+++ b/gateway/src/test/kotlin/org/pomeloladder/gateway/JoinedStreamsTest.kt
@@ -200,6 +200,24 @@
         expectThat(fleet.streams.joined()).isEmpty()
     }
 
+    // Guards against take-ups that all regions reject because one of them is lost.
+    @Test
+    fun `streams go on while a region is lost and a single version is in service`() {
+        start()
+        fleet.isolate(EAST)
+        fleet.run(500)
+        val begun = List(10) { call(NORTH) }
+        fleet.run(400)
+        fleet.upEngines().filter { it.region == NORTH }.take(3).forEach { fleet.crash(it) }
+        fleet.run(40)
+        val broken = begun.filter { it in fleet.streams.brokenOff }
+        broken.forEach { fleet.call(SOUTH, 0, brief, prompt(), resumes = it) }
+        fleet.run(1_000)
+
+        expectThat(broken).isNotEmpty()
+        expectThat(fleet.streams.continued.size).isEqualTo(broken.size)
+    }
+
     // Guards against a VM that knows of a stream without its version, and believes others that know
     // nothing of it.
     @Test
