--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/BrittleSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/BrittleSystem.kt
@@ -51,14 +51,8 @@
     override fun run(world: GatewayWorld, tick: GatewayTick) {
         for (event in tick.events) {
             when (event) {
-                is ServerActivity -> event.brittle.forEach { (id, rejectionsPerS) ->
-                    val service = world.backends[id]?.record?.service
-                    service?.let { observe(world, it, rejectionsPerS, tick.nowMs) }
-                }
-                is GossipReceived -> event.message.brittle.forEach { report ->
-                    val atMs = tick.nowMs - report.ageMs.coerceAtLeast(0)
-                    observe(world, report.service, report.rejectionsPerS, atMs)
-                }
+                is ServerActivity -> onActivity(world, tick, event)
+                is GossipReceived -> onGossip(world, tick, event)
                 is SendEnded -> onEnded(world, tick, event)
                 else -> Unit
             }
@@ -66,6 +60,20 @@
         logChanges(world, tick)
     }
 
+    private fun onActivity(world: GatewayWorld, tick: GatewayTick, event: ServerActivity) {
+        for ((id, rejectionsPerS) in event.brittle) {
+            val service = world.backends[id]?.record?.service ?: continue
+            observe(world, service, rejectionsPerS, tick.nowMs)
+        }
+    }
+
+    private fun onGossip(world: GatewayWorld, tick: GatewayTick, event: GossipReceived) {
+        for (report in event.message.brittle) {
+            val atMs = tick.nowMs - report.ageMs.coerceAtLeast(0)
+            observe(world, report.service, report.rejectionsPerS, atMs)
+        }
+    }
+
     private fun observe(
         world: GatewayWorld,
         service: ServiceId,
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallPlacer.kt
@@ -309,7 +309,7 @@
     private fun describeServer(world: GatewayWorld, backend: Backend, nowMs: Long): String {
         val life = backend.life
         val reportAgeMs = if (life.lastReport == null) -1 else nowMs - life.lastReportMs
-        val isUsable = isUsable(world, backend, nowMs)
+        val isUsable = isUsable(world, backend)
         return "${backend.id}:${backend.load}/${backend.record.slots},report=${reportAgeMs}ms," +
             "usable=$isUsable"
     }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/OtherRegions.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/OtherRegions.kt
@@ -27,7 +27,7 @@
 /** Whether [call] may be relayed to [peer]. */
 private fun canRelayTo(world: GatewayWorld, call: Call, peer: Peer, nowMs: Long): Boolean {
     val region = peer.identity.region
-    return reaches(world, peer, call.service, nowMs) &&
+    return reaches(world, peer, call.service) &&
         !call.isProbe &&
         call.allowsRegion(region) &&
         peer.isLive &&
@@ -38,9 +38,9 @@
 }
 
 /** Whether [peer] reaches servers of [service], in this region more of them than this VM. */
-private fun reaches(world: GatewayWorld, peer: Peer, service: ServiceId, nowMs: Long): Boolean {
+private fun reaches(world: GatewayWorld, peer: Peer, service: ServiceId): Boolean {
     if (peer.identity.region == world.self.region) {
-        return isBetterConnected(world, peer, service, nowMs)
+        return isBetterConnected(world, peer, service)
     }
     return (peer.services[service]?.reachedSlots ?: 0) > 0
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PartOwners.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PartOwners.kt
@@ -38,7 +38,7 @@
         .filter { isOwnerCandidate(world, call, it, reachableRegions, nowMs) }
         .rendezvousOrder(shared.last().id.value) { it.id.value }
     val (localServers, remoteServers) = ranked.take(OWNERS_PER_PART)
-        .partition { isLocal(world, it) && isUsable(world, it, nowMs) }
+        .partition { isLocal(world, it) && isUsable(world, it) }
     val isRelayed = call.spec.origin is CallOrigin.Peer
     return when {
         !isRelayed -> PartOwners(
@@ -48,7 +48,7 @@
         localServers.isNotEmpty() -> PartOwners(localServers, emptySet())
         // The process that relayed the call may know other servers than this one.
         else -> PartOwners(
-            ranked.filter { isLocal(world, it) && isUsable(world, it, nowMs) }
+            ranked.filter { isLocal(world, it) && isUsable(world, it) }
                 .take(OWNERS_PER_PART),
             emptySet(),
         )
@@ -68,7 +68,7 @@
     val isReachedByNeighbour = backend.unreachedSinceMs != null && region in reachableRegions
     return when (region) {
         world.self.region -> call.allowsRegion(region) &&
-            (isUsable(world, backend, nowMs) || isReachedByNeighbour) &&
+            (isUsable(world, backend) || isReachedByNeighbour) &&
             hasLimitCapacity(world, backend, nowMs) &&
             hasBrittleRoom(world, backend, nowMs)
         else -> region in reachableRegions
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PartSource.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PartSource.kt
@@ -62,5 +62,5 @@
     val isResponsive =
         nowMs - backend.life.lastHeardMs < MAX_SOURCE_SILENCE_MS ||
             backend.life.gapEstimator.gapMs(nowMs) > 0
-    return isResponsive && backend.missingSinceMs == null && isUsable(world, backend, nowMs)
+    return isResponsive && backend.missingSinceMs == null && isUsable(world, backend)
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PathSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PathSystem.kt
@@ -20,9 +20,9 @@
             when (event) {
                 is SendNotWritten -> onNotWritten(world, tick, event)
                 is HealthChecked -> onHealthChecked(world, tick, event)
-                is ServerActivity -> event.servers.forEach { id ->
-                    world.backends[id]?.let { regainPath(world, it) }
-                }
+                is ServerActivity ->
+                    event.servers.mapNotNull { world.backends[it] }
+                        .forEach { regainPath(world, it) }
                 else -> Unit
             }
         }
@@ -86,25 +86,19 @@
  * Whether [peer], of this region, reaches so much more of [service] than this VM that the difference
  * lies in their paths.
  */
-internal fun isBetterConnected(
-    world: GatewayWorld,
-    peer: Peer,
-    service: ServiceId,
-    nowMs: Long,
-): Boolean {
+internal fun isBetterConnected(world: GatewayWorld, peer: Peer, service: ServiceId): Boolean {
     val peerSlots = peer.services[service]?.reachedSlots ?: return false
-    return peerSlots > 0 && peerSlots >= reachedSlots(world, service, nowMs) * BETTER_PATH_FACTOR
+    return peerSlots > 0 && peerSlots >= reachedSlots(world, service) * BETTER_PATH_FACTOR
 }
 
 /** Whether a neighbour is better connected, so that failures of [service] are those of the path. */
-internal fun isStranded(world: GatewayWorld, service: ServiceId, nowMs: Long): Boolean =
-    world.liveRegionPeers().any { isBetterConnected(world, it, service, nowMs) }
+internal fun isStranded(world: GatewayWorld, service: ServiceId): Boolean =
+    world.liveRegionPeers().any { isBetterConnected(world, it, service) }
 
 /**
  * Slots of [service] that this VM reaches. Servers that are cold, in doubt or at their limit count,
  * since a neighbour would send them no more.
  */
-internal fun reachedSlots(world: GatewayWorld, service: ServiceId, nowMs: Long): Int =
-    world.backends
-        .filter { it.record.service == service && isUsable(world, it, nowMs) }
-        .sumOf { it.record.slots }
+internal fun reachedSlots(world: GatewayWorld, service: ServiceId): Int = world.backends
+    .filter { it.record.service == service && isUsable(world, it) }
+    .sumOf { it.record.slots }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -50,7 +50,9 @@
         nowMs: Long,
         random: Random,
     ): Placement {
-        val local = chooseLocal(world, call, nowMs, random, ::isUsable)
+        val local = chooseLocal(world, call, nowMs, random) { _, backend, _ ->
+            isUsable(world, backend)
+        }
         if (call.spec.origin is CallOrigin.Peer) return local ?: backup(world, call, nowMs, random)
         // Remote costs are not negative, so no other region can be cheaper by the margin.
         if (local != null && local.costMs <= REMOTE_MARGIN_MS) return local
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
@@ -250,7 +250,7 @@
 
 /** News of a restart, except for connections that were refused on a path of this VM alone. */
 private fun hasRestartNews(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean {
-    if (backend.doubt != null && isStranded(world, backend.record.service, nowMs)) return false
+    if (backend.doubt != null && isStranded(world, backend.record.service)) return false
     val isProvenCold = backend.doubt == null &&
         nowMs < backend.life.coldUntilMs &&
         nowMs - backend.provenMs < REPORT_MS
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLimit.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServerLimit.kt
@@ -102,7 +102,7 @@
  * them; 0 without such servers.
  */
 internal fun limitWaitMs(world: GatewayWorld, service: ServiceId, nowMs: Long): Long =
-    world.backends.filter { it.record.service == service && isUsable(world, it, nowMs) }
+    world.backends.filter { it.record.service == service && isUsable(world, it) }
         .minOfOrNull { backend ->
             if (hasLimitCapacity(world, backend, nowMs)) {
                 0.0
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServiceSummary.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServiceSummary.kt
@@ -22,7 +22,7 @@
 internal fun serviceSummary(world: GatewayWorld, service: ServiceId, nowMs: Long): ServiceLoad {
     val usable = world.backends.filter {
         it.record.service == service &&
-            isUsable(world, it, nowMs) &&
+            isUsable(world, it) &&
             !mayBeCold(it, nowMs) &&
             hasLimitCapacity(world, it, nowMs, isModest = true) &&
             hasBrittleRoom(world, it, nowMs)
@@ -39,7 +39,7 @@
         eventGapMs = typical?.first?.life?.gapEstimator?.gapMs(nowMs)?.toFloat() ?: 0f,
         meanWaitMs = meanMs(waits) ?: UNKNOWN_WAIT_MS,
         urgentWaitMs = lowerQuartile(urgentWaits)?.second?.toLong() ?: UNKNOWN_WAIT_MS,
-        reachedSlots = reachedSlots(world, service, nowMs),
+        reachedSlots = reachedSlots(world, service),
     )
 }
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
@@ -19,8 +19,8 @@
  * Whether calls may be sent to [backend] at [nowMs]: it is in this region, reachable, not draining
  * and not evacuated.
  */
-internal fun isUsable(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean =
-    !isLeaving(backend) && isReachable(world, backend, nowMs)
+internal fun isUsable(world: GatewayWorld, backend: Backend): Boolean =
+    !isLeaving(backend) && isReachable(world, backend)
 
 /** Whether [backend] drains by the word of the store, or has said itself that it leaves. */
 internal fun isLeaving(backend: Backend): Boolean =
@@ -36,10 +36,10 @@
         sinceMs != null &&
         backend.record.endsInMs == null &&
         nowMs - sinceMs < world.bounds.drainMs - DRAIN_MARGIN_MS &&
-        isReachable(world, backend, nowMs)
+        isReachable(world, backend)
 }
 
-private fun isReachable(world: GatewayWorld, backend: Backend, nowMs: Long): Boolean =
+private fun isReachable(world: GatewayWorld, backend: Backend): Boolean =
     !backend.life.isReplaced &&
         backend.doubt?.isRefused != true &&
         !backend.isHealthCheckPending &&
