Relay within a region only where a path is lost

A VM whose view had just lost a server handed its calls to a neighbour that still counted it, for a quarter of a second, to be refused there one hop later (RestoredServersTest). A neighbour is better connected only if this VM fails to reach a server that it knows.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PathSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PathSystem.kt
@@ -84,11 +84,15 @@
 
 /**
  * Whether [peer], of this region, reaches so much more of [service] than this VM that the difference
- * lies in their paths.
+ * lies in their paths. Where this VM fails to reach no server, only their views differ.
  */
 internal fun isBetterConnected(world: GatewayWorld, peer: Peer, service: ServiceId): Boolean {
+    val hasUnreached =
+        world.unreachedServers.any { world.backends[it]?.record?.service == service }
     val peerSlots = peer.services[service]?.reachedSlots ?: return false
-    return peerSlots > 0 && peerSlots >= reachedSlots(world, service) * BETTER_PATH_FACTOR
+    return hasUnreached &&
+        peerSlots > 0 &&
+        peerSlots >= reachedSlots(world, service) * BETTER_PATH_FACTOR
 }
 
 /** Whether a neighbour is better connected, so that failures of [service] are those of the path. */
