Share what paths and brittle servers wrote again

No change of behaviour. The share of a whole that many VMs divide was written for cold servers and again for brittle ones (shareOf); the server of a send was looked up in six places (GatewayWorld.serverOf); what a server takes by its own word was two checks at each of three places (hasRoom); a summary went over the servers of a service twice (reachedServers). Whether a peer is better connected, which goes over all servers, is asked after the cheap conditions. Comments that still spoke of other regions only are corrected.

--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/BrittleSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/BrittleSystem.kt
@@ -88,10 +88,10 @@
     private fun onEnded(world: GatewayWorld, tick: GatewayTick, event: SendEnded) {
         val outcome = event.outcome as? SendOutcome.NotRun ?: return
         if (outcome.reason != NotRunReason.FULL) return
-        val place = world.sends[event.send]?.place as? SendPlace.AtServer ?: return
+        val backend = world.serverOf(event.send) ?: return
         // VMs that were all turned away at once must not return at once.
         val pauseMs = tick.random.nextLong(MIN_FULL_MS, MAX_FULL_MS)
-        world.backends[place.server]?.life?.fullUntilMs = tick.nowMs + pauseMs
+        backend.life.fullUntilMs = tick.nowMs + pauseMs
     }
 
     private fun logChanges(world: GatewayWorld, tick: GatewayTick) {
@@ -118,17 +118,9 @@
     val report = backend.life.freshReport(nowMs)
     val isWaiting = report != null && report.waiting > 0
     if (nowMs < backend.life.fullUntilMs || isWaiting) return false
-    val vmCount = sharingVmCount(world, nowMs)
-    val unheardCalls = vmCount * UNHEARD_CALLS_PER_VM
+    val unheardCalls = sharingVmCount(world, nowMs) * UNHEARD_CALLS_PER_VM
     if (backend.load + unheardCalls <= backend.record.slots * BORROWED_PART) return true
-    return backend.inFlight < slotShare(world, backend, vmCount, nowMs)
-}
-
-/** Returns the slots of [backend] that this VM, one of [vmCount], may use whatever the others do. */
-private fun slotShare(world: GatewayWorld, backend: Backend, vmCount: Int, nowMs: Long): Int {
-    val slots = backend.record.slots
-    if (vmCount <= slots) return slots / vmCount
-    return if (knowsRegion(world, nowMs) && isAmongSenders(world, backend, slots)) 1 else 0
+    return backend.inFlight < shareOf(world, backend, backend.record.slots, nowMs)
 }
 
 /** Returns what datagrams tell of services that are brittle. */
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/CallSystem.kt
@@ -180,8 +180,7 @@
 
 /** Removes [send] from the counts of its server. */
 internal fun releaseServer(world: GatewayWorld, send: Send) {
-    val place = send.place as? SendPlace.AtServer ?: return
-    val backend = world.backends[place.server] ?: return
+    val backend = world.serverOf(send) ?: return
     backend.inFlight--
     backend.pending.add(send.priority, -send.pendingTokens)
     send.pendingTokens = 0
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayCommand.kt
@@ -32,8 +32,8 @@
     ) : SendTarget
 
     /**
-     * An entry VM of another region, which is to use a server of [service], and of [version] if that
-     * is set.
+     * An entry VM of another region, or one with a better path to the servers of this one. It is to
+     * use a server of [service], and of [version] if that is set.
      */
     data class Peer(
         val vm: VmId,
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/GatewayWorld.kt
@@ -100,6 +100,12 @@
         return regionVms
     }
 
+    /** The server of this region that [send] went to, or null if that was a peer. */
+    fun serverOf(send: Send): Backend? =
+        (send.place as? SendPlace.AtServer)?.let { backends[it.server] }
+
+    fun serverOf(send: SendId): Backend? = sends[send]?.let(::serverOf)
+
     fun service(id: ServiceId): ServiceState = services.getOrPut(id) { ServiceState(id) }
 }
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/OtherRegions.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/OtherRegions.kt
@@ -27,14 +27,14 @@
 /** Whether [call] may be relayed to [peer]. */
 private fun canRelayTo(world: GatewayWorld, call: Call, peer: Peer, nowMs: Long): Boolean {
     val region = peer.identity.region
-    return reaches(world, peer, call.service) &&
-        !call.isProbe &&
+    return !call.isProbe &&
         call.allowsRegion(region) &&
         peer.isLive &&
         peer.isReady &&
         !peer.isDraining &&
         peer.vm !in call.avoidedPeers &&
-        nowMs >= peer.unreachableUntilMs
+        nowMs >= peer.unreachableUntilMs &&
+        reaches(world, peer, call.service)
 }
 
 /** Whether [peer] reaches servers of [service], in this region more of them than this VM. */
@@ -45,7 +45,7 @@
     return (peer.services[service]?.reachedSlots ?: 0) > 0
 }
 
-/** Returns the cheapest other region for a call that any engine there may serve. */
+/** Returns the cheapest region to relay a call to that any engine there may serve. */
 internal fun bestRemote(
     world: GatewayWorld,
     call: Call,
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PartOwners.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PartOwners.kt
@@ -17,8 +17,8 @@
 private const val MIN_OWNED_TOKENS = 2_000
 
 /**
- * Owners of the shared parts of a call's prompt: servers of this region, and the other regions that
- * have owners.
+ * Owners of the shared parts of a call's prompt: servers of this region that this VM reaches, and
+ * the regions with other owners.
  */
 internal class PartOwners(val localServers: List<Backend>, val remoteRegions: Set<RegionId>)
 
@@ -69,8 +69,7 @@
     return when (region) {
         world.self.region -> call.allowsRegion(region) &&
             (isUsable(world, backend) || isReachedByNeighbour) &&
-            hasLimitCapacity(world, backend, nowMs) &&
-            hasBrittleRoom(world, backend, nowMs)
+            hasRoom(world, backend, nowMs)
         else -> region in reachableRegions
     }
 }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PathSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PathSystem.kt
@@ -31,8 +31,7 @@
 
     private fun onNotWritten(world: GatewayWorld, tick: GatewayTick, event: SendNotWritten) {
         if (event.reason != NotWrittenReason.CONNECT_FAILED) return
-        val place = world.sends[event.send]?.place as? SendPlace.AtServer ?: return
-        val backend = world.backends[place.server] ?: return
+        val backend = world.serverOf(event.send) ?: return
         losePath(world, tick, backend, LogEvent.BACKEND_UNREACHABLE)
     }
 
@@ -90,9 +89,9 @@
     val hasUnreached =
         world.unreachedServers.any { world.backends[it]?.record?.service == service }
     val peerSlots = peer.services[service]?.reachedSlots ?: return false
-    return hasUnreached &&
-        peerSlots > 0 &&
-        peerSlots >= reachedSlots(world, service) * BETTER_PATH_FACTOR
+    if (!hasUnreached || peerSlots == 0) return false
+    val ownSlots = reachedServers(world, service).sumOf { it.record.slots }
+    return peerSlots >= ownSlots * BETTER_PATH_FACTOR
 }
 
 /** Whether a neighbour is better connected, so that failures of [service] are those of the path. */
@@ -100,9 +99,8 @@
     world.liveRegionPeers().any { isBetterConnected(world, it, service) }
 
 /**
- * Slots of [service] that this VM reaches. Servers that are cold, in doubt or at their limit count,
+ * Servers of [service] that this VM reaches. Those that are cold, in doubt or at their limit count,
  * since a neighbour would send them no more.
  */
-internal fun reachedSlots(world: GatewayWorld, service: ServiceId): Int = world.backends
-    .filter { it.record.service == service && isUsable(world, it) }
-    .sumOf { it.record.slots }
+internal fun reachedServers(world: GatewayWorld, service: ServiceId): List<Backend> =
+    world.backends.filter { it.record.service == service && isUsable(world, it) }
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/PlacementPolicy.kt
@@ -12,10 +12,7 @@
 interface PlacementPolicy {
     fun choose(world: GatewayWorld, call: Call, nowMs: Long, random: Random): Placement
 
-    /**
-     * Returns the expected waits and the capacity of [service] in this region, for peers of other
-     * regions.
-     */
+    /** Returns the expected waits and the capacity of [service] in this region, for peers. */
     fun summarizeLoad(world: GatewayWorld, service: ServiceId, nowMs: Long): ServiceLoad
 }
 
@@ -85,8 +82,7 @@
             mayServe(call, it) &&
                 isCandidate(world, it, nowMs) &&
                 hasColdCapacity(world, it, nowMs) &&
-                hasLimitCapacity(world, it, nowMs, isModest = !hasOwners(call)) &&
-                hasBrittleRoom(world, it, nowMs)
+                hasRoom(world, it, nowMs, isModest = !hasOwners(call))
         }
         if (usable.isEmpty()) return null
         val ranked = call.spec.prompt?.sharedParts?.lastOrNull()?.let { part ->
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RegionShares.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RegionShares.kt
@@ -34,6 +34,18 @@
 private fun ageMs(world: GatewayWorld, nowMs: Long): Long =
     nowMs - (world.process.startedMs ?: nowMs)
 
+/**
+ * Returns how many of the [whole] calls that all VMs of the region together may have at [backend] are
+ * this process's. When there are more VMs than calls, the first in rendezvous order get one each.
+ */
+internal fun shareOf(world: GatewayWorld, backend: Backend, whole: Int, nowMs: Long): Int {
+    val count = sharingVmCount(world, nowMs)
+    if (count <= whole) return whole / count
+    // Which VMs have a part is not known before all have been heard of.
+    if (!knowsRegion(world, nowMs)) return 0
+    return if (isAmongSenders(world, backend, whole)) 1 else 0
+}
+
 /**
  * Whether this process is one of the [count] VMs that may send to [backend] when there are more VMs
  * than parts. All VMs with the same view choose the same.
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/RestartSystem.kt
@@ -62,14 +62,14 @@
 
     private fun onNotWritten(world: GatewayWorld, tick: GatewayTick, event: SendNotWritten) {
         if (event.reason != NotWrittenReason.CONNECT_FAILED) return
-        val backend = serverOf(world, event.send) ?: return
+        val backend = world.serverOf(event.send) ?: return
         doubt(world, tick, backend, event.isRefused, if (event.isRefused) "refused" else "timeout")
     }
 
     private fun onEnded(world: GatewayWorld, tick: GatewayTick, event: SendEnded) {
         val reason = (event.outcome as? SendOutcome.Broken)?.reason
         if (reason != BreakReason.CONNECTION_LOST && reason != BreakReason.TRUNCATED) return
-        val backend = serverOf(world, event.send) ?: return
+        val backend = world.serverOf(event.send) ?: return
         doubt(world, tick, backend, isRefused = false, reason.name.lowercase())
     }
 
@@ -99,11 +99,6 @@
         if (check.askedMs >= doubt.sinceMs) prove(world, tick, backend, coldForMs, by = "check")
     }
 
-    private fun serverOf(world: GatewayWorld, id: SendId): Backend? {
-        val place = world.sends[id]?.place as? SendPlace.AtServer ?: return null
-        return world.backends[place.server]
-    }
-
     /** Takes over what a peer has observed since this process last learned of the server's life. */
     private fun merge(world: GatewayWorld, tick: GatewayTick, report: RestartReport) {
         val backend = world.backends[report.server] ?: return
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/SendSystem.kt
@@ -34,7 +34,7 @@
         send.firstEventMs = tick.nowMs - send.startedMs
         call.isStreamStarted = true
         call.mayHaveRun = true
-        val backend = backendOf(world, send) ?: return
+        val backend = world.serverOf(send) ?: return
         backend.life.lastHeardMs = tick.nowMs
         recordReport(backend, event.load, tick.nowMs)
         recordLimit(tick, backend, send, event.limitPerS, isComplete = true)
@@ -89,7 +89,7 @@
         logEnd(tick, call, send, event.reason)
         if (event.reason != NotWrittenReason.NOT_NEEDED) markAvoided(call, send)
         world.service(call.service).retryBudget.refund(send.permit)
-        backendOf(world, send)?.let { backend ->
+        world.serverOf(send)?.let { backend ->
             backend.life.limit.refund()
             backend.recentSends.remove(send.id)
         }
@@ -109,7 +109,7 @@
         val send = world.sends.remove(event.send) ?: return
         releaseServer(world, send)
         val call = world.calls[send.call]
-        val backend = backendOf(world, send)
+        val backend = world.serverOf(send)
         if (backend != null) {
             recordReport(backend, event.load, tick.nowMs)
             updateFailureRate(backend, event.outcome)
@@ -193,7 +193,7 @@
         markAvoided(call, send)
         tick.journal.count(Counter.RETRIES, outcome.reason.name.lowercase())
         if (outcome.reason == NotRunReason.WRONG_INSTANCE) {
-            val backend = backendOf(world, send)
+            val backend = world.serverOf(send)
             if (backend != null) {
                 backend.life.isReplaced = true
                 tick.emit(CloseIdleConnections(backend.id))
@@ -251,7 +251,7 @@
         val send = world.sends[event.send] ?: return
         val call = world.calls[send.call] ?: return
         if (call.currentSend != send.id || call.replacementSend != null) return
-        val backend = backendOf(world, send) ?: return
+        val backend = world.serverOf(send) ?: return
         val isAlive = tick.nowMs - backend.life.lastHeardMs < SILENCE_TIMEOUT_MS
         val allowedMs = if (isAlive) maxSilenceMs(call, send, tick.nowMs) else SILENCE_TIMEOUT_MS
         if (event.idleMs < allowedMs) return
@@ -354,9 +354,6 @@
         }
     }
 
-    private fun backendOf(world: GatewayWorld, send: Send): Backend? =
-        (send.place as? SendPlace.AtServer)?.let { world.backends[it.server] }
-
     private fun logEnd(
         tick: GatewayTick,
         call: Call,
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/ServiceSummary.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/ServiceSummary.kt
@@ -1,6 +1,6 @@
 /*
- * Summarizes the load of a service in this region in a few figures, which datagrams carry to other
- * regions.
+ * Summarizes the load of a service in this region in a few figures, which datagrams carry to the
+ * other VMs.
  */
 package org.pomeloladder.gateway
 
@@ -15,17 +15,11 @@
 /** Wait reported for a service without a usable server in this region. */
 private const val UNKNOWN_WAIT_MS = 60_000L
 
-/**
- * Returns the expected waits and the capacity of [service] in this region, for peers of other
- * regions.
- */
+/** Returns the expected waits and the capacity of [service] in this region, for peers. */
 internal fun serviceSummary(world: GatewayWorld, service: ServiceId, nowMs: Long): ServiceLoad {
-    val usable = world.backends.filter {
-        it.record.service == service &&
-            isUsable(world, it) &&
-            !mayBeCold(it, nowMs) &&
-            hasLimitCapacity(world, it, nowMs, isModest = true) &&
-            hasBrittleRoom(world, it, nowMs)
+    val reached = reachedServers(world, service)
+    val usable = reached.filter {
+        !mayBeCold(it, nowMs) && hasRoom(world, it, nowMs, isModest = true)
     }
     val urgentPriority = world.catalog?.mostUrgentPriority(service) ?: 0
     val waits = typicalWaits(world, usable, Int.MAX_VALUE, nowMs)
@@ -39,7 +33,7 @@
         eventGapMs = typical?.first?.life?.gapEstimator?.gapMs(nowMs)?.toFloat() ?: 0f,
         meanWaitMs = meanMs(waits) ?: UNKNOWN_WAIT_MS,
         urgentWaitMs = lowerQuartile(urgentWaits)?.second?.toLong() ?: UNKNOWN_WAIT_MS,
-        reachedSlots = reachedSlots(world, service),
+        reachedSlots = reached.sumOf { it.record.slots },
     )
 }
 
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/StreamBinding.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/StreamBinding.kt
@@ -64,8 +64,7 @@
  * for sure: the server may have started again since the send, with another version.
  */
 internal fun versionOf(world: GatewayWorld, send: Send, nowMs: Long): SoftwareVersion? {
-    val place = send.place as? SendPlace.AtServer ?: return null
-    val backend = world.backends[place.server] ?: return null
+    val backend = world.serverOf(send) ?: return null
     val sinceMs = backend.doubt?.sinceMs
     // A doubt of this tick arose after the event.
     val isCertain = backend.life === send.life && (sinceMs == null || sinceMs >= nowMs)
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/StreamOriginSystem.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/StreamOriginSystem.kt
@@ -90,10 +90,8 @@
     }
 
     /** Whether the server of [send] may still turn out to live the same life. */
-    private fun mayBeProven(world: GatewayWorld, send: Send): Boolean {
-        val place = send.place as? SendPlace.AtServer ?: return false
-        return world.backends[place.server]?.life === send.life
-    }
+    private fun mayBeProven(world: GatewayWorld, send: Send): Boolean =
+        world.serverOf(send)?.let { it.life === send.life } == true
 
     private fun receive(world: GatewayWorld, tick: GatewayTick, event: StreamMessageReceived) {
         val message = event.message
--- a/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
+++ b/gateway/src/main/kotlin/org/pomeloladder/gateway/Usability.kt
@@ -16,8 +16,8 @@
 private const val DRAIN_MARGIN_MS = 2_000L
 
 /**
- * Whether calls may be sent to [backend] at [nowMs]: it is in this region, reachable, not draining
- * and not evacuated.
+ * Whether calls may be sent to [backend]: it is in this region, reachable, not draining and not
+ * evacuated.
  */
 internal fun isUsable(world: GatewayWorld, backend: Backend): Boolean =
     !isLeaving(backend) && isReachable(world, backend)
@@ -57,6 +57,18 @@
         nowMs >= backend.life.coldUntilMs &&
         backend.record.domain !in world.process.view?.evacuated.orEmpty()
 
+/**
+ * Whether this process may send one more call to [backend] by what its service has said of itself. A
+ * call that [isModest] leaves some of a limit to others.
+ */
+internal fun hasRoom(
+    world: GatewayWorld,
+    backend: Backend,
+    nowMs: Long,
+    isModest: Boolean = false,
+): Boolean = hasLimitCapacity(world, backend, nowMs, isModest) &&
+    hasBrittleRoom(world, backend, nowMs)
+
 /** Whether [backend] is cold, or may be because it may have started again. */
 internal fun mayBeCold(backend: Backend, nowMs: Long): Boolean =
     nowMs < backend.life.coldUntilMs || backend.doubt != null
@@ -72,16 +84,11 @@
 
 /**
  * Returns the number of calls that this process may send to a cold server within the window. All
- * VMs of the region share the limit; when it is smaller than the number of VMs, the first in
- * rendezvous order get one call each.
+ * VMs of the region share the limit.
  */
 private fun coldAllowance(world: GatewayWorld, backend: Backend, nowMs: Long): Int {
     val rate = world.catalog?.service(backend.record.service)?.coldRequestsPerS ?: return 0
     val bound = (rate * world.bounds.coldOverage + world.bounds.coldSlack - COLD_RESERVE).toInt()
     if (isDiscovering(world, nowMs)) return 0
-    val count = sharingVmCount(world, nowMs)
-    if (count <= bound) return bound / count
-    // Which VMs have a part is not known before all have been heard of.
-    if (!knowsRegion(world, nowMs)) return 0
-    return if (isAmongSenders(world, backend, bound)) 1 else 0
+    return shareOf(world, backend, bound, nowMs)
 }
