--- a/review/standins-2/Case.java
+++ b/review/standins-2/Case.java
@@ -15,6 +15,7 @@
         int code = NOT_RUN;
         try (Record record = new Record(Path.of(args[1]))) {
             Case named = switch (args[0]) {
+                case "ColdSpell" -> new ColdSpell(record, hasTrouble);
                 case "MixedVersions" -> new MixedVersions(record, hasTrouble);
                 default -> throw new IllegalArgumentException(args[0]);
             };
--- a/review/standins-2/Engine.java
+++ b/review/standins-2/Engine.java
@@ -18,6 +18,7 @@
     final String id;
     private final ServerSocket listener;
     private final Handler handler;
+    private volatile long coldUntilMs;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
     Engine(String id, String host, int port, Handler handler) throws IOException {
@@ -38,11 +39,24 @@
         return listener.getLocalPort();
     }
 
+    /** The engine is cold for [forMs], as its health answers and its entries say. */
+    void becomeCold(long forMs) {
+        coldUntilMs = System.currentTimeMillis() + forMs;
+    }
+
+    long coldLeftMs() {
+        return Math.max(0, coldUntilMs - System.currentTimeMillis());
+    }
+
     /** The entry that the engine writes to the store. */
     String entry(String service, String zone, String version, long bornMs, int slots) {
+        return entry(service, zone, version, bornMs, slots, 0, 1);
+    }
+
+    String entry(String service, String zone, String version, long bornMs, int slots, long coldLeftMs, int seq) {
         return "{\"Service\":\"" + service + "\",\"Address\":\"" + address() + "\",\"Zone\":\"" + zone
-            + "\",\"Version\":\"" + version + "\",\"Slots\":" + slots + ",\"State\":\"ready\",\"ColdLeftMs\":0"
-            + ",\"Seq\":1,\"born\":" + bornMs + "}";
+            + "\",\"Version\":\"" + version + "\",\"Slots\":" + slots + ",\"State\":\"ready\",\"ColdLeftMs\":" + coldLeftMs
+            + ",\"Seq\":" + seq + ",\"born\":" + bornMs + "}";
     }
 
     /** Sends a complete answer with the headers that an engine sets. */
@@ -108,7 +122,8 @@
         OutputStream out = socket.getOutputStream();
         if (request.head().path().equals("/healthz")) {
             String head = "HTTP/1.1 200 OK\r\nX-Pomeloladder-Instance-Id: " + id
-                + "\r\nX-Pomeloladder-Server-Load: 0,0,64\r\nContent-Length: 0\r\n\r\n";
+                + "\r\nX-Pomeloladder-Server-Load: 0,0,64\r\n"
+                + (coldLeftMs() > 0 ? "X-Pomeloladder-Cold-Ms: " + coldLeftMs() + "\r\n" : "") + "Content-Length: 0\r\n\r\n";
             out.write(head.getBytes(StandardCharsets.ISO_8859_1));
             return true;
         }
