Review case 6: one of six engines crashes, within the site's share

Rule ORDER: more than two streams hold events from engines of two software versions of one service. The cause is as before: RestartSystem.doubt leaves out services without a limit for cold servers.

--- a/review/standins-2/MixedVersions.java
+++ b/review/standins-2/MixedVersions.java
@@ -15,8 +15,9 @@
  * more than two streams hold events of both versions.
  */
 final class MixedVersions implements Case {
-    private static final int CALLERS = 44;
-    private static final int SLOTS = 32;
+    private static final int CALLERS = 60;
+    private static final int SLOTS = 8;
+    private static final int OTHER_ENGINES = 5;
     private static final int SERVE_MS = 13_000;
     private static final int STORE_SILENT_MS = 4_500;
     private static final String CONFIG = "{\"Version\":1,\"Routes\":[{\"Name\":\"brief\",\"Host\":\"shop.example\","
@@ -43,10 +44,12 @@
         String net = "127." + (20 + new Random().nextInt(200)) + "." + new Random().nextInt(250) + ".";
         StoreStandIn store = new StoreStandIn(net + "1");
         Engine first = new Engine("i-first", net + "101", 0, new StreamEngine("v1"));
-        Engine second = new Engine("i-second", net + "102", 0, new StreamEngine("v1"));
         store.put("op/config", CONFIG);
         store.put("servers/i-first", first.entry("llm", "north-a", "v1", System.currentTimeMillis(), SLOTS));
-        store.put("servers/i-second", second.entry("llm", "north-a", "v1", System.currentTimeMillis(), SLOTS));
+        for (int number = 0; number < OTHER_ENGINES; number++) {
+            Engine other = new Engine("i-other-" + number, net + (102 + number), 0, new StreamEngine("v1"));
+            store.put("servers/" + other.id, other.entry("llm", "north-a", "v1", System.currentTimeMillis(), SLOTS));
+        }
         try (Gateway gateway = new Gateway(directory, net + "2", "north", Map.of("north-a", "north"),
             List.of(net + "2"), store.address())) {
             gateway.start();
@@ -75,7 +78,7 @@
         Thread.sleep(1_000);
         Engine again = new Engine("i-first", host, port, new StreamEngine("v2"));
         record.line("i-first has started again as v2 and can't write to the store");
-        Thread.sleep(2_200);
+        Thread.sleep(3_200);
         record.line("i-first crashes");
         again.crash();
         Thread.sleep(Math.max(0, startedMs + STORE_SILENT_MS - System.currentTimeMillis()));
