Review: write the times of a record in milliseconds

No rule is concerned. A time of 10.002 seconds reads like an address. The checks of the cases and their bounds are as before.

--- a/review/standins-2/Record.java
+++ b/review/standins-2/Record.java
@@ -13,7 +13,7 @@
     }
 
     synchronized void line(String text) {
-        out.printf("%8.3f %s%n", (System.nanoTime() - startedNanos) / 1e9, text);
+        out.printf("%8d ms %s%n", (System.nanoTime() - startedNanos) / 1_000_000, text);
     }
 
     /** Writes [text] to the record and to standard output. */
